--- /dev/null
+++ b/agent/gate/gate.go
@@ -0,0 +1,217 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/agent/engine"
+	"github.com/siskinford/siskinford/agent/ledger"
+	"github.com/siskinford/siskinford/agent/ticket"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// housekeepingInterval is the time between passes over queue and ledger.
+const housekeepingInterval = 20 * time.Millisecond
+
+// PlainBackend runs HTTP requests at a plain service.
+type PlainBackend interface {
+	// Run forwards p and blocks until the answer has ended. It never repeats a
+	// request. The error is an *engine.NotStartedError only if no byte of the
+	// request can have reached the service.
+	Run(ctx context.Context, p *msg.Plain, head func(msg.Head) error, body func([]byte) error) error
+}
+
+// Deps are the parts that an agent works with. Exactly one of Engine and Plain is set.
+type Deps struct {
+	Engine engine.Engine
+	Plain  PlainBackend
+	Keys   *keys.Ring
+	Ring   *timeline.Ring
+	Log    zerolog.Logger
+}
+
+// Agent is the agent of one endpoint. It is safe for concurrent use.
+type Agent struct {
+	config      Config
+	deps        Deps
+	incarnation id.Incarnation
+	ledger      *ledger.Ledger
+	tickets     *ticket.Issuer
+	server      *link.Server
+	now         func() time.Time
+
+	ctx     context.Context // ends when running attempts are cut off
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	reports reporter
+
+	// mu is taken before the ledger's lock.
+	mu       sync.Mutex
+	queue    fifo
+	running  map[id.Attempt]*run
+	draining bool
+	drainSet uint64 // version of the last obeyed DrainOrder
+	leaving  bool   // set by shutdown, never cleared
+}
+
+// run is one attempt that was handed to the back end.
+type run struct {
+	item   item
+	cancel context.CancelFunc
+}
+
+// New returns an agent with a new incarnation. Start must be called to serve.
+func New(c Config, d Deps) (*Agent, error) {
+	if err := c.Validate().Err(); err != nil {
+		return nil, err
+	}
+	if (d.Engine == nil) == (d.Plain == nil) {
+		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
+	}
+	now := monotonicClock()
+	inc := id.NewIncarnation()
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Agent{
+		config:      c,
+		deps:        d,
+		incarnation: inc,
+		ledger:      ledger.New(c.Ledger, now),
+		tickets:     ticket.NewIssuer(c.Endpoint, inc, c.TicketLifetime, now),
+		now:         now,
+		ctx:         ctx,
+		cancel:      cancel,
+		running:     make(map[id.Attempt]*run),
+	}
+	a.reports.init(a)
+	return a, nil
+}
+
+// monotonicClock returns a clock that starts at the wall time and then advances
+// steadily, also when the wall clock is set back.
+func monotonicClock() func() time.Time {
+	start := time.Now()
+	return func() time.Time { return start.Add(time.Since(start)) }
+}
+
+// Start listens for entries and begins to serve.
+func (a *Agent) Start() error {
+	server, err := link.Listen(a.config.Listen, a.deps.Keys.Server(keys.RoleEntry), a.config.Link, (*handler)(a))
+	if err != nil {
+		return err
+	}
+	a.server = server
+	a.wg.Go(a.housekeeping)
+	a.wg.Go(func() { a.reports.poll(a.ctx) })
+	a.record(timeline.Event{Kind: "agent.started", Detail: server.Address()})
+	return nil
+}
+
+// Address returns the UDP address on which the agent listens.
+func (a *Agent) Address() string { return a.server.Address() }
+
+// Incarnation returns the incarnation of this agent.
+func (a *Agent) Incarnation() id.Incarnation { return a.incarnation }
+
+// Unsettled returns the number of attempts that wait or run.
+func (a *Agent) Unsettled() int { return a.ledger.Unsettled() }
+
+// Shutdown refuses new work, waits for all attempts in flight and closes the
+// listener. When ctx ends first, running attempts are cut off and reported as such.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.record(timeline.Event{Kind: "agent.draining", Detail: "shutdown"})
+	a.reports.changed()
+	err := a.awaitIdle(ctx)
+	a.cancel()
+	_ = a.awaitCancelled()
+	a.record(timeline.Event{Kind: "agent.stopped"})
+	a.server.Close()
+	a.wg.Wait()
+	return err
+}
+
+// cancelWait bounds the time that cancelled attempts have to record their end.
+const cancelWait = time.Second
+
+func (a *Agent) awaitCancelled() error {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelWait)
+	defer cancel()
+	return a.awaitIdle(ctx)
+}
+
+func (a *Agent) awaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for a.ledger.Unsettled() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%d attempts were cut off", a.ledger.Unsettled())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// setDrain obeys an operator's drain state if version is greater than the last one obeyed.
+func (a *Agent) setDrain(drain bool, version uint64) {
+	a.mu.Lock()
+	if version <= a.drainSet {
+		a.mu.Unlock()
+		return
+	}
+	a.drainSet = version
+	changed := a.draining != drain
+	a.draining = drain
+	a.mu.Unlock()
+	if !changed {
+		return
+	}
+	kind := timeline.Kind("agent.undrained")
+	if drain {
+		kind = "agent.draining"
+	}
+	a.record(timeline.Event{Kind: kind, Detail: "configuration"})
+	a.reports.changed()
+}
+
+// refusesNew reports whether new work is refused. The caller holds a.mu.
+func (a *Agent) refusesNew() bool { return a.draining || a.leaving }
+
+// housekeeping removes what has expired until the agent stops.
+func (a *Agent) housekeeping() {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	lastExpire := a.now()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.dispatchQueued()
+		if a.now().Sub(lastExpire) > time.Second {
+			lastExpire = a.now()
+			for _, attempt := range a.ledger.Expire() {
+				a.cancelRunning(attempt)
+			}
+		}
+	}
+}
+
+func (a *Agent) record(e timeline.Event) {
+	e.Endpoint = a.config.Endpoint
+	e.Incarnation = a.incarnation
+	a.deps.Ring.Record(e)
+	a.deps.Log.Info().Str("event", string(e.Kind)).Str("request", string(e.Request)).
+		Str("attempt", string(e.Attempt)).Str("endpoint", string(e.Endpoint)).Msg(e.Detail)
+}
--- /dev/null
+++ b/agent/gate/handler.go
@@ -0,0 +1,181 @@
+package gate
+
+import (
+	"fmt"
+
+	"github.com/siskinford/siskinford/agent/ledger"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// handler answers the orders of entries.
+type handler Agent
+
+// Incarnation implements link.Handler.
+func (h *handler) Incarnation() id.Incarnation { return h.incarnation }
+
+// Closed implements link.Handler.
+func (h *handler) Closed(s *link.Session) { h.reports.remove(s) }
+
+// Order implements link.Handler.
+func (h *handler) Order(s *link.Session, o *msg.Order) {
+	a := (*Agent)(h)
+	to := sink{session: s, order: o.ID}
+	switch {
+	case o.Dispatch != nil:
+		a.dispatch(o.Dispatch, to)
+	case o.Attach != nil:
+		a.attach(o.Attach, to)
+	case o.Withdraw != nil:
+		s.Reply(&msg.Reply{ID: o.ID, Verdict: a.withdraw(o.Withdraw)})
+	case o.Ticket != nil:
+		s.Reply(&msg.Reply{ID: o.ID, Ticket: a.issueTicket(o.Ticket)})
+	case o.Inquire != nil:
+		s.Reply(&msg.Reply{ID: o.ID, Verdict: a.inquire(o.Inquire)})
+	case o.Reports != nil:
+		a.reports.add(s, o)
+	case o.Drain != nil:
+		a.setDrain(o.Drain.Drain, o.Drain.Version)
+	case o.Events != nil:
+		s.Reply(&msg.Reply{ID: o.ID, Events: a.events(o.Events)})
+	}
+}
+
+// sink sends the frames of an attempt as replies to one order.
+type sink struct {
+	session *link.Session
+	order   uint64
+}
+
+// Frame implements ledger.Sink.
+func (s sink) Frame(f *msg.Frame) { s.session.Reply(&msg.Reply{ID: s.order, Frame: f}) }
+
+func (s sink) refuse(attempt id.Attempt, r *msg.Refusal) {
+	s.Frame(&msg.Frame{Attempt: attempt, Refused: r})
+}
+
+func (a *Agent) dispatch(d *msg.Dispatch, to sink) {
+	refusal := a.admit(d, to)
+	if refusal == nil {
+		return
+	}
+	a.record(timeline.Event{
+		Kind: "attempt.refused", Request: d.Request, Attempt: d.Attempt, Detail: string(refusal.Code),
+	})
+	to.refuse(d.Attempt, refusal)
+}
+
+// admit puts a dispatch into the queue or joins it to a known attempt.
+func (a *Agent) admit(d *msg.Dispatch, to sink) *msg.Refusal {
+	if refusal := a.check(d); refusal != nil {
+		return refusal
+	}
+	attempt := ledger.Attempt{ID: d.Attempt, Action: d.Action, Team: d.Team, PayloadHash: d.PayloadHash}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ledger.Known(attempt) {
+		if a.refusesNew() {
+			return &msg.Refusal{Code: msg.CodeDraining, Detail: fmt.Sprintf("endpoint %q takes no new work", a.config.Endpoint)}
+		}
+		if a.queue.len() >= a.config.MaxQueue {
+			return &msg.Refusal{Code: msg.CodeQueueFull, Detail: fmt.Sprintf("%d attempts wait", a.queue.len())}
+		}
+	}
+	admission, refusal := a.ledger.Admit(attempt, to)
+	if admission == ledger.AdmittedNew {
+		a.queue.push(newItem(d, a.now()))
+		a.startQueued()
+	}
+	return refusal
+}
+
+// check verifies that the dispatch is meant for this incarnation and well formed.
+func (a *Agent) check(d *msg.Dispatch) *msg.Refusal {
+	switch {
+	case d.Incarnation != a.incarnation:
+		return &msg.Refusal{Code: msg.CodeIncarnation, Detail: "the agent was restarted"}
+	case d.Endpoint != a.config.Endpoint:
+		return &msg.Refusal{Code: msg.CodeIncarnation, Detail: fmt.Sprintf("this is endpoint %q", a.config.Endpoint)}
+	case (d.Chat != nil) != (a.deps.Engine != nil) || (d.Chat == nil) == (d.Plain == nil):
+		return &msg.Refusal{Code: msg.CodeBadRequest, Detail: "the payload does not fit the endpoint"}
+	case d.Ticket == "":
+		return nil
+	}
+	claims, err := a.tickets.Verify(d.Ticket, d.Team, d.Service)
+	if err != nil {
+		return &msg.Refusal{Code: msg.CodeTicket, Detail: err.Error()}
+	}
+	if claims.Action != d.Action {
+		return &msg.Refusal{Code: msg.CodeTicket, Detail: "the ticket is for another action"}
+	}
+	return nil
+}
+
+func (a *Agent) attach(o *msg.Attach, to sink) {
+	if o.Incarnation != a.incarnation {
+		to.refuse(o.Attempt, &msg.Refusal{Code: msg.CodeIncarnation, Detail: "the agent was restarted"})
+		return
+	}
+	a.ledger.Attach(o.Attempt, o.From, to)
+}
+
+// withdraw tombstones an attempt before its start. Afterwards it is cancelled
+// unless it is a non-idempotent action, which runs to its end.
+func (a *Agent) withdraw(o *msg.Withdraw) *msg.Verdict {
+	v := &msg.Verdict{Incarnation: a.incarnation, Attempt: o.Attempt, Outcome: outcome.Unknown}
+	if o.Incarnation != a.incarnation {
+		v.State = msg.StateUnknown
+		return v
+	}
+	a.mu.Lock()
+	a.queue.remove(o.Attempt)
+	a.mu.Unlock()
+	refusal := msg.Refusal{Code: msg.CodeWithdrawn, Detail: "the attempt was withdrawn"}
+	if a.ledger.Refuse(o.Attempt, refusal) {
+		v.State = msg.StateTombstoned
+		v.Outcome = outcome.NotRun
+		return v
+	}
+	state, hasAction := a.ledger.State(o.Attempt)
+	v.State = state
+	if !hasAction {
+		a.cancelRunning(o.Attempt)
+	}
+	return v
+}
+
+func (a *Agent) issueTicket(o *msg.TicketOrder) *msg.Ticket {
+	a.mu.Lock()
+	refuses := a.refusesNew()
+	a.mu.Unlock()
+	if refuses {
+		return &msg.Ticket{Refused: &msg.Refusal{Code: msg.CodeDraining, Detail: "the endpoint takes no new work"}}
+	}
+	text, claims, err := a.tickets.Issue(o.Team, o.Service)
+	if err != nil {
+		return &msg.Ticket{Refused: &msg.Refusal{Code: msg.CodeBadRequest, Detail: err.Error()}}
+	}
+	return &msg.Ticket{Ticket: text, ExpiresUnixMS: claims.ExpiresUnixMS}
+}
+
+// inquire reports what is known of an action of this incarnation.
+func (a *Agent) inquire(o *msg.Inquire) *msg.Verdict {
+	if o.Incarnation != a.incarnation {
+		return &msg.Verdict{Incarnation: a.incarnation, State: msg.StateUnknown, Outcome: outcome.Unknown}
+	}
+	v := a.ledger.Action(ledger.Key{Team: o.Team, Action: o.Action})
+	v.Incarnation = a.incarnation
+	return &v
+}
+
+// maxEvents bounds the events of one answer.
+const maxEvents = 5000
+
+func (a *Agent) events(o *msg.EventsOrder) *msg.Events {
+	return &msg.Events{Process: string(a.config.Host), Events: timeline.Select(a.deps.Ring, timeline.Filter{
+		Since: o.Since, Request: o.Request, Endpoint: o.Endpoint, Kind: timeline.Kind(o.Kind), Limit: min(o.Limit, maxEvents),
+	})}
+}
--- /dev/null
+++ b/agent/gate/run.go
@@ -0,0 +1,131 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/agent/engine"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// dispatchQueued refuses attempts past their deadline and starts others in free slots.
+func (a *Agent) dispatchQueued() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startQueued()
+}
+
+// startQueued starts attempts while slots are free. The caller holds a.mu.
+func (a *Agent) startQueued() {
+	now := a.now()
+	for _, it := range a.queue.expired(now) {
+		a.refuseQueued(it, msg.CodeDeadline, "the attempt did not start in time")
+	}
+	for len(a.running) < a.config.Slots {
+		it, ok := a.queue.next()
+		if !ok {
+			return
+		}
+		if !a.ledger.Start(it.dispatch.Attempt) {
+			continue
+		}
+		a.launch(it)
+	}
+}
+
+func (a *Agent) refuseQueued(it item, code msg.Code, detail string) {
+	d := it.dispatch
+	if a.ledger.Refuse(d.Attempt, msg.Refusal{Code: code, Detail: detail}) {
+		a.record(timeline.Event{Kind: "attempt.refused", Request: d.Request, Attempt: d.Attempt, Detail: string(code)})
+	}
+}
+
+// launch runs a started attempt on its own goroutine. The caller holds a.mu.
+func (a *Agent) launch(it item) {
+	ctx, cancel := a.runContext(it.dispatch)
+	a.running[it.dispatch.Attempt] = &run{item: it, cancel: cancel}
+	a.wg.Go(func() {
+		defer cancel()
+		a.execute(ctx, it.dispatch)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.running, it.dispatch.Attempt)
+		a.startQueued()
+	})
+}
+
+func (a *Agent) runContext(d *msg.Dispatch) (context.Context, context.CancelFunc) {
+	if d.RunTimeout > 0 {
+		return context.WithTimeout(a.ctx, time.Duration(d.RunTimeout)*time.Microsecond)
+	}
+	return context.WithCancel(a.ctx)
+}
+
+func (a *Agent) cancelRunning(attempt id.Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r, ok := a.running[attempt]; ok {
+		r.cancel()
+	}
+}
+
+// execute hands an attempt to the back end and records its answer.
+func (a *Agent) execute(ctx context.Context, d *msg.Dispatch) {
+	a.record(timeline.Event{Kind: "attempt.started", Request: d.Request, Attempt: d.Attempt})
+	var end msg.End
+	var err error
+	if d.Chat != nil {
+		end, err = a.runChat(ctx, d)
+	} else {
+		err = a.runPlain(ctx, d)
+	}
+	var notStarted *engine.NotStartedError
+	if errors.As(err, &notStarted) {
+		a.ledger.NotStarted(d.Attempt, msg.Refusal{Code: msg.CodeBackend, Detail: err.Error()})
+		a.record(timeline.Event{Kind: "attempt.refused", Request: d.Request, Attempt: d.Attempt, Detail: string(msg.CodeBackend)})
+		return
+	}
+	end.Outcome = outcome.Ran
+	if err != nil {
+		end.Outcome = outcome.Unknown
+		end.Error = err.Error()
+	}
+	a.ledger.Finish(d.Attempt, end)
+	a.record(timeline.Event{Kind: "attempt.done", Request: d.Request, Attempt: d.Attempt, Detail: string(end.Outcome)})
+}
+
+func (a *Agent) runChat(ctx context.Context, d *msg.Dispatch) (msg.End, error) {
+	request := engine.Request{
+		Attempt: d.Attempt, Model: d.Chat.Model, Prompt: d.Chat.Prompt, MaxTokens: d.Chat.MaxTokens,
+	}
+	if d.Class == msg.Short {
+		request.Priority = 1
+	}
+	usage, err := a.deps.Engine.Run(ctx, request, func(t engine.Token) error {
+		a.ledger.Append(d.Attempt, msg.Frame{Data: []byte(t.Text), Tokens: 1})
+		return ctx.Err()
+	})
+	return msg.End{
+		FinishReason: usage.FinishReason,
+		PromptTokens: uint32(usage.PromptTokens),
+		AnswerTokens: uint32(usage.AnswerTokens),
+		CachedTokens: uint32(usage.CachedTokens),
+	}, err
+}
+
+func (a *Agent) runPlain(ctx context.Context, d *msg.Dispatch) error {
+	head := func(h msg.Head) error {
+		a.ledger.Append(d.Attempt, msg.Frame{Head: &h})
+		return nil
+	}
+	body := func(b []byte) error {
+		a.ledger.Append(d.Attempt, msg.Frame{Data: append([]byte(nil), b...)})
+		return nil
+	}
+	return a.deps.Plain.Run(ctx, d.Plain, head, body)
+}
--- /dev/null
+++ b/agent/ledger/ledger.go
@@ -0,0 +1,348 @@
+// Package ledger records the attempts of one agent incarnation and guarantees
+// that no attempt and no action starts twice.
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// Sink receives the frames of an attempt. Frame is called with the ledger's lock
+// held: it must not block and must not call the ledger.
+type Sink interface {
+	Frame(f *msg.Frame)
+}
+
+// Key identifies an action. Actions of different teams never meet.
+type Key struct {
+	Team   id.Team
+	Action id.Action
+}
+
+// Attempt describes a new attempt.
+type Attempt struct {
+	ID id.Attempt
+	// Action is empty if the request may be repeated or carries no key.
+	Action      id.Action
+	Team        id.Team
+	PayloadHash uint64
+}
+
+func (a Attempt) key() Key { return Key{Team: a.Team, Action: a.Action} }
+
+// record is the state of one attempt.
+type record struct {
+	attempt Attempt
+	state   msg.State
+	frames  []*msg.Frame
+	bytes   int
+	digest  *xxhash.Digest
+	sinks   []Sink
+	refusal *msg.Refusal
+	end     *msg.End
+	// settledAt is when the attempt was done or tombstoned.
+	settledAt time.Time
+	// orphanedAt is when the last sink was removed from a started attempt.
+	orphanedAt time.Time
+}
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	config Config
+	now    func() time.Time
+
+	// mu is taken before the locks of sinks.
+	mu       sync.Mutex
+	attempts map[id.Attempt]*record
+	actions  map[Key]*record
+	bytes    int
+	counts   map[msg.State]int
+}
+
+// New returns an empty ledger that reads the time from now.
+func New(c Config, now func() time.Time) *Ledger {
+	return &Ledger{
+		config:   c,
+		now:      now,
+		attempts: make(map[id.Attempt]*record),
+		actions:  make(map[Key]*record),
+		counts:   make(map[msg.State]int),
+	}
+}
+
+// Admission is the result of Admit.
+type Admission uint8
+
+const (
+	// AdmittedNew means that the attempt is queued and must be started by the caller.
+	AdmittedNew Admission = iota
+	// AdmittedJoined means that the sink was attached to an attempt that exists already.
+	AdmittedJoined
+	// AdmittedRefused means that the attempt is not recorded and will not start.
+	AdmittedRefused
+)
+
+// Admit records an attempt as queued. If the attempt or its action is known, it
+// attaches the sink to the known attempt and replays its frames instead.
+func (l *Ledger) Admit(a Attempt, sink Sink) (Admission, *msg.Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, ok := l.attempts[a.ID]; ok {
+		return l.join(r, a, sink)
+	}
+	if a.Action != "" {
+		if r, ok := l.actions[a.key()]; ok {
+			return l.join(r, a, sink)
+		}
+	}
+	if refusal := l.full(a); refusal != nil {
+		return AdmittedRefused, refusal
+	}
+	r := &record{attempt: a, digest: xxhash.New()}
+	l.setState(r, msg.StateQueued)
+	l.attempts[a.ID] = r
+	if a.Action != "" {
+		l.actions[a.key()] = r
+	}
+	l.attach(r, 0, sink)
+	return AdmittedNew, nil
+}
+
+func (l *Ledger) full(a Attempt) *msg.Refusal {
+	if len(l.attempts) >= l.config.MaxAttempts {
+		return &msg.Refusal{Code: msg.CodeLedgerFull, Detail: "the agent records too many attempts"}
+	}
+	if a.Action != "" && len(l.actions) >= l.config.MaxActions {
+		return &msg.Refusal{Code: msg.CodeLedgerFull, Detail: "the agent records too many actions"}
+	}
+	return nil
+}
+
+// join attaches sink to a known attempt. The payloads must be equal.
+func (l *Ledger) join(r *record, a Attempt, sink Sink) (Admission, *msg.Refusal) {
+	if r.state == msg.StateTombstoned {
+		return AdmittedRefused, r.refusal
+	}
+	if r.attempt.PayloadHash != a.PayloadHash || r.attempt.Team != a.Team {
+		return AdmittedRefused, &msg.Refusal{Code: msg.CodePayload, Detail: "the action was used with another payload"}
+	}
+	l.attach(r, 0, sink)
+	return AdmittedJoined, nil
+}
+
+// Known reports whether an attempt or action is recorded and may be joined.
+func (l *Ledger) Known(a Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.attempts[a.ID]; ok {
+		return true
+	}
+	if a.Action == "" {
+		return false
+	}
+	_, ok := l.actions[a.key()]
+	return ok
+}
+
+// Start moves a queued attempt to started. Only if it returns true may the
+// caller hand the attempt to the back end.
+func (l *Ledger) Start(attempt id.Attempt) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok || r.state != msg.StateQueued {
+		return false
+	}
+	l.setState(r, msg.StateStarted)
+	return true
+}
+
+// Append adds data to the answer of a started attempt.
+func (l *Ledger) Append(attempt id.Attempt, f msg.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok || r.state != msg.StateStarted {
+		return
+	}
+	_, _ = r.digest.Write(f.Data)
+	l.push(r, &f)
+}
+
+// Finish closes the answer of a started attempt. Count and Checksum are set by the ledger.
+func (l *Ledger) Finish(attempt id.Attempt, end msg.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok || r.state != msg.StateStarted {
+		return
+	}
+	end.Count = uint32(len(r.frames))
+	end.Checksum = r.digest.Sum64()
+	r.end = &end
+	l.push(r, &msg.Frame{End: &end})
+	l.settle(r, msg.StateDone)
+}
+
+// Refuse tombstones an attempt that was not handed to the back end. It reports
+// false if the attempt has started. An unknown attempt is recorded as
+// tombstoned, so that a dispatch that arrives later is refused.
+func (l *Ledger) Refuse(attempt id.Attempt, refusal msg.Refusal) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok {
+		r = &record{attempt: Attempt{ID: attempt}}
+		l.attempts[attempt] = r
+	}
+	switch r.state {
+	case msg.StateTombstoned:
+		return true
+	case msg.StateStarted, msg.StateDone:
+		return false
+	}
+	l.tombstone(r, refusal)
+	return true
+}
+
+// NotStarted tombstones a started attempt of which the back end is known to
+// have received nothing.
+func (l *Ledger) NotStarted(attempt id.Attempt, refusal msg.Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok || r.state != msg.StateStarted || len(r.frames) > 0 {
+		return
+	}
+	l.tombstone(r, refusal)
+}
+
+// tombstone settles r and frees its action for another attempt.
+func (l *Ledger) tombstone(r *record, refusal msg.Refusal) {
+	r.refusal = &refusal
+	if r.attempt.Action != "" && l.actions[r.attempt.key()] == r {
+		delete(l.actions, r.attempt.key())
+	}
+	for _, s := range r.sinks {
+		s.Frame(&msg.Frame{Attempt: r.attempt.ID, Refused: r.refusal})
+	}
+	l.settle(r, msg.StateTombstoned)
+}
+
+func (l *Ledger) settle(r *record, s msg.State) {
+	l.setState(r, s)
+	r.settledAt = l.now()
+	r.sinks = nil
+}
+
+func (l *Ledger) setState(r *record, s msg.State) {
+	if r.state != "" {
+		l.counts[r.state]--
+	}
+	r.state = s
+	l.counts[s]++
+}
+
+// push stores a frame and hands it to the sinks.
+func (l *Ledger) push(r *record, f *msg.Frame) {
+	f.Attempt = r.attempt.ID
+	f.Seq = uint32(len(r.frames))
+	r.frames = append(r.frames, f)
+	r.bytes += len(f.Data)
+	l.bytes += len(f.Data)
+	for _, s := range r.sinks {
+		s.Frame(f)
+	}
+}
+
+// Attach replays the frames of an attempt from a sequence number on and keeps
+// the sink attached for later ones. An unknown attempt is tombstoned.
+func (l *Ledger) Attach(attempt id.Attempt, from uint32, sink Sink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok {
+		r = &record{attempt: Attempt{ID: attempt}}
+		l.attempts[attempt] = r
+		l.tombstone(r, msg.Refusal{Code: msg.CodeUnknownAttempt, Detail: "the agent did not receive the attempt"})
+	}
+	l.attach(r, from, sink)
+}
+
+func (l *Ledger) attach(r *record, from uint32, sink Sink) {
+	switch {
+	case r.state == msg.StateTombstoned:
+		sink.Frame(&msg.Frame{Attempt: r.attempt.ID, Refused: r.refusal})
+		return
+	case r.state == msg.StateDone && r.frames == nil:
+		sink.Frame(&msg.Frame{Attempt: r.attempt.ID, End: &msg.End{
+			Outcome: r.end.Outcome, Error: "the answer is no longer kept",
+		}})
+		return
+	}
+	for i := int(from); i < len(r.frames); i++ {
+		sink.Frame(r.frames[i])
+	}
+	if r.state != msg.StateDone {
+		r.sinks = append(r.sinks, sink)
+		r.orphanedAt = time.Time{}
+	}
+}
+
+// Detach removes a sink from an attempt.
+func (l *Ledger) Detach(attempt id.Attempt, sink Sink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok {
+		return
+	}
+	for i, s := range r.sinks {
+		if s == sink {
+			r.sinks = append(r.sinks[:i], r.sinks[i+1:]...)
+			break
+		}
+	}
+	if len(r.sinks) == 0 {
+		r.orphanedAt = l.now()
+	}
+}
+
+// State returns the state of an attempt and whether it has an action.
+func (l *Ledger) State(attempt id.Attempt) (s msg.State, hasAction bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.attempts[attempt]
+	if !ok {
+		return msg.StateUnknown, false
+	}
+	return r.state, r.attempt.Action != ""
+}
+
+// Action returns what is known of an action.
+func (l *Ledger) Action(k Key) msg.Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.actions[k]
+	if !ok {
+		return msg.Verdict{State: msg.StateUnknown, Outcome: outcome.NotRun}
+	}
+	v := msg.Verdict{State: r.state, Outcome: outcome.Unknown, Attempt: r.attempt.ID}
+	if r.state == msg.StateDone {
+		v.Outcome = r.end.Outcome
+	}
+	return v
+}
+
+// Unsettled returns the number of attempts that are queued or started.
+func (l *Ledger) Unsettled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[msg.StateQueued] + l.counts[msg.StateStarted]
+}
--- /dev/null
+++ b/core/timeline/filter.go
@@ -0,0 +1,40 @@
+package timeline
+
+import (
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Filter selects events. Empty fields select everything.
+type Filter struct {
+	// Since is the oldest wall time in nanoseconds since the Unix epoch.
+	Since    int64
+	Request  id.Request
+	Endpoint id.Endpoint
+	Kind     Kind
+	// Limit keeps only the newest events. Zero means no limit.
+	Limit int
+}
+
+// Match reports whether e is selected, apart from Limit.
+func (f Filter) Match(e Event) bool {
+	switch {
+	case e.Stamp.Wall < f.Since:
+		return false
+	case f.Request != "" && e.Request != f.Request:
+		return false
+	case f.Endpoint != "" && e.Endpoint != f.Endpoint:
+		return false
+	case f.Kind != "" && e.Kind != f.Kind:
+		return false
+	}
+	return true
+}
+
+// Select returns the selected events of a ring, oldest first.
+func Select(r *Ring, f Filter) []Event {
+	events := r.Events(f.Match)
+	if f.Limit > 0 && len(events) > f.Limit {
+		events = events[len(events)-f.Limit:]
+	}
+	return events
+}
--- /dev/null
+++ b/wire/codec/codec.go
@@ -0,0 +1,95 @@
+// Package codec encodes messages as CBOR with a length prefix.
+package codec
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessageBytes bounds one encoded message without its prefix.
+const MaxMessageBytes = 2 << 20
+
+// prefixLen is the length in bytes of the big-endian length prefix.
+const prefixLen = 4
+
+// decMode rejects duplicate map keys and bounds nesting and collection sizes.
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 10,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// TooLargeError reports a message above MaxMessageBytes.
+type TooLargeError struct{ Bytes int }
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds the limit of %d", e.Bytes, MaxMessageBytes)
+}
+
+// Append encodes m with its prefix and appends it to buf.
+func Append(buf []byte, m any) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return buf, errors.Wrap(err, "encode message")
+	}
+	if len(body) > MaxMessageBytes {
+		return buf, &TooLargeError{Bytes: len(body)}
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(body)))
+	return append(buf, body...), nil
+}
+
+// Marshal encodes m without a prefix.
+func Marshal(m any) ([]byte, error) { return cbor.Marshal(m) }
+
+// Unmarshal decodes a message without a prefix.
+func Unmarshal(data []byte, m any) error { return decMode.Unmarshal(data, m) }
+
+// Reader decodes messages from a stream. It is not safe for concurrent use.
+type Reader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, 16<<10)}
+}
+
+// Next decodes the next message into m, which must be a pointer to a zero value.
+// It blocks until a whole message has arrived. The error is io.EOF at a clean end.
+func (d *Reader) Next(m any) error {
+	var prefix [prefixLen]byte
+	if _, err := io.ReadFull(d.r, prefix[:]); err != nil {
+		return err
+	}
+	n := int(binary.BigEndian.Uint32(prefix[:]))
+	if n > MaxMessageBytes {
+		return &TooLargeError{Bytes: n}
+	}
+	if cap(d.buf) < n {
+		d.buf = make([]byte, n)
+	}
+	body := d.buf[:n]
+	if _, err := io.ReadFull(d.r, body); err != nil {
+		return errors.Wrap(err, "read message body")
+	}
+	if err := decMode.Unmarshal(body, m); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/keys/keys.go
@@ -0,0 +1,194 @@
+// Package keys provides the TLS identities of the system's processes. Each
+// certificate carries the role and host of its process in a URI name.
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Role is what a process may do in the system.
+type Role string
+
+const (
+	// RoleEntry is the role of siskinford-entry.
+	RoleEntry Role = "entry"
+	// RoleAgent is the role of siskinford-agent.
+	RoleAgent Role = "agent"
+)
+
+// uriScheme is the scheme of the URI name in certificates.
+const uriScheme = "siskinford"
+
+// protocol is the ALPN identifier of connections between processes of the system.
+const protocol = "siskinford/1"
+
+// serverName is the DNS name in every certificate. Identity is checked by role, not by name.
+const serverName = "siskinford.internal"
+
+// Config names the key material. Each value is either PEM text or the path of a PEM file.
+type Config struct {
+	// Certificate is the certificate chain of this process.
+	Certificate string
+	// Key is the private key of the certificate.
+	Key string
+	// Authority holds the certificates that sign peers. It may hold several during a rotation.
+	Authority string
+}
+
+// Validate reports what is missing or malformed.
+func (c Config) Validate() finding.List {
+	var l finding.List
+	if _, err := load(c); err != nil {
+		l.Addf("tls", "%v", err)
+	}
+	return l
+}
+
+// Ring holds the current key material. It is safe for concurrent use.
+type Ring struct {
+	config  Config
+	current atomic.Pointer[material]
+}
+
+type material struct {
+	certificate tls.Certificate
+	authority   *x509.CertPool
+}
+
+// New loads the key material.
+func New(c Config) (*Ring, error) {
+	r := &Ring{config: c}
+	if err := r.Reload(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Reload reads the key material again. New connections use it at once. On an
+// error the former material stays in use.
+func (r *Ring) Reload() error {
+	m, err := load(r.config)
+	if err != nil {
+		return err
+	}
+	r.current.Store(m)
+	return nil
+}
+
+func load(c Config) (*material, error) {
+	cert, err := read("certificate", c.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	key, err := read("key", c.Key)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := read("authority", c.Authority)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load certificate and key")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.New("authority contains no certificate")
+	}
+	return &material{certificate: pair, authority: pool}, nil
+}
+
+func read(name, value string) ([]byte, error) {
+	if value == "" {
+		return nil, errors.Newf("%s is not set", name)
+	}
+	if strings.HasPrefix(strings.TrimSpace(value), "-----BEGIN") {
+		return []byte(value), nil
+	}
+	data, err := os.ReadFile(value)
+	return data, errors.Wrapf(err, "read %s", name)
+}
+
+// Server returns the TLS configuration of a listener that accepts the given roles.
+func (r *Ring) Server(accept ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := r.current.Load()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				NextProtos:             []string{protocol},
+				Certificates:           []tls.Certificate{m.certificate},
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientCAs:              m.authority,
+				SessionTicketsDisabled: true,
+				VerifyConnection:       verifyRole(accept),
+			}, nil
+		},
+		NextProtos: []string{protocol},
+	}
+}
+
+// Client returns the TLS configuration for dialing a process of the given roles.
+func (r *Ring) Client(accept ...Role) *tls.Config {
+	m := r.current.Load()
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocol},
+		Certificates:           []tls.Certificate{m.certificate},
+		RootCAs:                m.authority,
+		ServerName:             serverName,
+		SessionTicketsDisabled: true,
+		VerifyConnection:       verifyRole(accept),
+	}
+}
+
+func verifyRole(accept []Role) func(tls.ConnectionState) error {
+	return func(s tls.ConnectionState) error {
+		role, host, err := Identity(s)
+		if err != nil {
+			return err
+		}
+		for _, r := range accept {
+			if r == role {
+				return nil
+			}
+		}
+		return &RoleError{Role: role, Host: host, Accept: accept}
+	}
+}
+
+// Identity returns the role and host of the peer of a connection.
+func Identity(s tls.ConnectionState) (Role, id.Host, error) {
+	if len(s.PeerCertificates) == 0 {
+		return "", "", errors.New("peer presented no certificate")
+	}
+	for _, u := range s.PeerCertificates[0].URIs {
+		if u.Scheme == uriScheme {
+			return Role(u.Host), id.Host(strings.TrimPrefix(u.Path, "/")), nil
+		}
+	}
+	return "", "", errors.New("peer certificate names no role")
+}
+
+// RoleError reports a peer whose role is not accepted.
+type RoleError struct {
+	Role   Role
+	Host   id.Host
+	Accept []Role
+}
+
+func (e *RoleError) Error() string {
+	return fmt.Sprintf("host %q has role %q, want one of %q", e.Host, e.Role, e.Accept)
+}
--- /dev/null
+++ b/wire/link/config.go
@@ -0,0 +1,78 @@
+// Package link connects processes of the system over QUIC. One side sends orders,
+// the listening side answers with replies. All messages of a connection share one
+// stream, so that messages written at the same time leave in one packet.
+package link
+
+import (
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/siskinford/siskinford/core/finding"
+)
+
+// Config sets the bounds of connections.
+type Config struct {
+	// DialTimeout bounds the time until a new connection is usable. Default: 1 s.
+	DialTimeout time.Duration
+	// ProbeInterval is the time between application probes of a client. Default: 500 ms.
+	ProbeInterval time.Duration
+	// SilenceTimeout is the time without any message after which a client
+	// abandons a connection. Default: 1.5 s.
+	SilenceTimeout time.Duration
+	// IdleTimeout is the time without any packet after which a listener closes
+	// a connection. Default: 10 s.
+	IdleTimeout time.Duration
+	// MaxQueuedBytes bounds the encoded messages that wait for being sent on
+	// one connection. A connection that exceeds it is closed. Default: 64 MiB.
+	MaxQueuedBytes int
+	// GatherDelay is the time that a writer waits for further messages before
+	// it sends a batch. Default: 0.
+	GatherDelay time.Duration
+}
+
+// DefaultConfig returns the defaults for connections within a region.
+func DefaultConfig() Config {
+	return Config{
+		DialTimeout:    time.Second,
+		ProbeInterval:  500 * time.Millisecond,
+		SilenceTimeout: 1500 * time.Millisecond,
+		IdleTimeout:    10 * time.Second,
+		MaxQueuedBytes: 64 << 20,
+	}
+}
+
+// Validate reports all values out of range.
+func (c Config) Validate() finding.List {
+	var l finding.List
+	positive := func(name string, d time.Duration) {
+		if d <= 0 {
+			l.Addf(name, "duration %v is not positive", d)
+		}
+	}
+	positive("dial-timeout", c.DialTimeout)
+	positive("probe-interval", c.ProbeInterval)
+	positive("silence-timeout", c.SilenceTimeout)
+	positive("idle-timeout", c.IdleTimeout)
+	if c.SilenceTimeout <= c.ProbeInterval {
+		l.Addf("silence-timeout", "%v is not greater than the probe interval %v", c.SilenceTimeout, c.ProbeInterval)
+	}
+	if c.MaxQueuedBytes <= 0 {
+		l.Addf("max-queued-bytes", "%d is not positive", c.MaxQueuedBytes)
+	}
+	return l
+}
+
+func (c Config) quic() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           c.DialTimeout,
+		MaxIdleTimeout:                 c.IdleTimeout,
+		InitialStreamReceiveWindow:     1 << 20,
+		MaxStreamReceiveWindow:         16 << 20,
+		InitialConnectionReceiveWindow: 2 << 20,
+		MaxConnectionReceiveWindow:     32 << 20,
+		MaxIncomingStreams:             1,
+		MaxIncomingUniStreams:          -1,
+		Allow0RTT:                      false,
+	}
+}
--- /dev/null
+++ b/wire/link/conn.go
@@ -0,0 +1,233 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/siskinford/siskinford/wire/codec"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// Waiter receives what becomes of an order. Its methods are called on the
+// reader goroutine of the connection and must not block.
+type Waiter interface {
+	// Reply is called for each reply to the order.
+	Reply(r *msg.Reply)
+	// Lost is called once if the connection ends before the call is released.
+	// Sent is false only if no byte of the order can have left this process.
+	Lost(sent bool, cause error)
+}
+
+// ErrReleased is the cause of messages sent on a connection that was closed locally.
+var ErrReleased = errors.New("connection was closed")
+
+// SilentError reports a connection on which nothing arrived although it was probed.
+type SilentError struct {
+	Address string
+	Silence time.Duration
+}
+
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("connection to %s was silent for %v", e.Address, e.Silence)
+}
+
+// Conn is the client side of a connection. It is safe for concurrent use.
+type Conn struct {
+	address string
+	config  Config
+	quic    *quic.Conn
+	out     *outbox
+
+	lastReceived atomic.Int64 // nanoseconds since started
+	started      time.Time
+	done         chan struct{}
+
+	// mu is taken before outbox.mu. No Waiter is called while it is held.
+	mu     sync.Mutex
+	nextID uint64
+	calls  map[uint64]*Call
+	cause  error
+}
+
+// Call is an order that waits for replies.
+type Call struct {
+	conn     *Conn
+	id       uint64
+	position uint64
+	waiter   Waiter
+}
+
+// dial connects to address from a new local port, so that a path on which an
+// older connection went silent is not used again.
+func dial(ctx context.Context, address string, t *tls.Config, c Config) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
+	q, err := quic.DialAddr(ctx, address, t, c.quic())
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	stream, err := q.OpenStreamSync(ctx)
+	if err != nil {
+		_ = q.CloseWithError(0, "")
+		return nil, errors.Wrapf(err, "open stream to %s", address)
+	}
+	conn := &Conn{
+		address: address,
+		config:  c,
+		quic:    q,
+		out:     newOutbox(c),
+		started: time.Now(),
+		done:    make(chan struct{}),
+		calls:   make(map[uint64]*Call),
+	}
+	go func() { conn.end(conn.out.run(stream)) }()
+	go func() { conn.end(conn.read(stream)) }()
+	go conn.probe()
+	return conn, nil
+}
+
+// Address returns the address that was dialed.
+func (c *Conn) Address() string { return c.address }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Send queues an order and sets its ID. It does not wait for the peer. An error
+// means that no byte of the order left; the waiter is then not called.
+func (c *Conn) Send(o *msg.Order, w Waiter) (*Call, error) {
+	call := &Call{conn: c, waiter: w}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != nil {
+		return nil, c.cause
+	}
+	c.nextID++
+	o.ID = c.nextID
+	call.id = o.ID
+	position, err := c.out.put(o)
+	if err != nil {
+		return nil, err
+	}
+	call.position = position
+	c.calls[call.id] = call
+	return call, nil
+}
+
+// Release stops the delivery of replies. It may be called several times.
+func (c *Call) Release() {
+	c.conn.mu.Lock()
+	delete(c.conn.calls, c.id)
+	c.conn.mu.Unlock()
+}
+
+// Call sends an order and waits for its first reply.
+func (c *Conn) Call(ctx context.Context, o *msg.Order) (*msg.Reply, error) {
+	w := &singleReply{done: make(chan struct{})}
+	call, err := c.Send(o, w)
+	if err != nil {
+		return nil, err
+	}
+	defer call.Release()
+	select {
+	case <-w.done:
+		return w.reply, w.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Close ends the connection. Calls in progress are lost.
+func (c *Conn) Close() { c.end(ErrReleased) }
+
+// end closes the connection once and tells the waiters.
+func (c *Conn) end(cause error) {
+	if cause == nil {
+		cause = ErrReleased
+	}
+	c.mu.Lock()
+	if c.cause != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.cause = cause
+	calls := c.calls
+	c.calls = make(map[uint64]*Call)
+	c.mu.Unlock()
+
+	c.out.close(cause)
+	_ = c.quic.CloseWithError(0, "")
+	close(c.done)
+	for _, call := range calls {
+		call.waiter.Lost(c.out.sent(call.position), cause)
+	}
+}
+
+func (c *Conn) read(stream *quic.Stream) error {
+	r := codec.NewReader(stream)
+	for {
+		reply := new(msg.Reply)
+		if err := r.Next(reply); err != nil {
+			return err
+		}
+		c.lastReceived.Store(int64(time.Since(c.started)))
+		if w := c.waiter(reply.ID); w != nil {
+			w.Reply(reply)
+		}
+	}
+}
+
+func (c *Conn) waiter(id uint64) Waiter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call, ok := c.calls[id]; ok {
+		return call.waiter
+	}
+	return nil
+}
+
+// probe verifies that messages still arrive and abandons the connection otherwise.
+func (c *Conn) probe() {
+	ticker := time.NewTicker(c.config.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-ticker.C:
+		}
+		silence := time.Since(c.started) - time.Duration(c.lastReceived.Load())
+		if silence > c.config.SilenceTimeout {
+			c.end(&SilentError{Address: c.address, Silence: silence})
+			return
+		}
+		if silence > c.config.ProbeInterval/2 {
+			_, _ = c.out.put(&msg.Order{Probe: &msg.Probe{}})
+		}
+	}
+}
+
+// singleReply is a Waiter for one reply.
+type singleReply struct {
+	once  sync.Once
+	done  chan struct{}
+	reply *msg.Reply
+	err   error
+}
+
+func (w *singleReply) Reply(r *msg.Reply) { w.finish(r, nil) }
+
+func (w *singleReply) Lost(_ bool, cause error) { w.finish(nil, cause) }
+
+func (w *singleReply) finish(r *msg.Reply, err error) {
+	w.once.Do(func() {
+		w.reply, w.err = r, err
+		close(w.done)
+	})
+}
--- /dev/null
+++ b/wire/link/pool.go
@@ -0,0 +1,91 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+
+	"golang.org/x/sync/singleflight"
+)
+
+// Pool keeps one live connection per address. It is safe for concurrent use.
+type Pool struct {
+	config Config
+	tls    func() *tls.Config
+	dials  singleflight.Group
+
+	// mu is a leaf lock.
+	mu     sync.Mutex
+	conns  map[string]*Conn
+	closed bool
+}
+
+// NewPool returns a pool that dials with the TLS configuration that tls returns.
+func NewPool(c Config, tls func() *tls.Config) *Pool {
+	return &Pool{config: c, tls: tls, conns: make(map[string]*Conn)}
+}
+
+// Existing returns the live connection to address, or nil.
+func (p *Pool) Existing(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[address]
+}
+
+// Conn returns a live connection to address and dials if there is none. It
+// blocks up to the dial timeout.
+func (p *Pool) Conn(ctx context.Context, address string) (*Conn, error) {
+	if c := p.Existing(address); c != nil {
+		return c, nil
+	}
+	result := p.dials.DoChan(address, func() (any, error) { return p.dial(address) })
+	select {
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*Conn), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *Pool) dial(address string) (*Conn, error) {
+	if c := p.Existing(address); c != nil {
+		return c, nil
+	}
+	c, err := dial(context.Background(), address, p.tls(), p.config)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		go c.Close()
+		return nil, ErrReleased
+	}
+	p.conns[address] = c
+	go p.forget(c)
+	return c, nil
+}
+
+func (p *Pool) forget(c *Conn) {
+	<-c.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[c.address] == c {
+		delete(p.conns, c.address)
+	}
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	conns := p.conns
+	p.conns = make(map[string]*Conn)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -5,41 +5,71 @@
 import (
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
 )
 
-// Type tells which message opens a stream.
-type Type uint8
-
-const (
-	// TypeDispatch opens a stream that runs an attempt. Frames follow in the other direction.
-	TypeDispatch Type = iota + 1
-	// TypeAttach opens a stream that continues the frames of a known attempt.
-	TypeAttach
-	// TypeWithdraw cancels an attempt. The answer is a Verdict.
-	TypeWithdraw
-	// TypeTicket asks the agent for a Ticket.
-	TypeTicket
-	// TypeInquire asks what is known of an action. The answer is a Verdict.
-	TypeInquire
-	// TypeReports subscribes to the agent's load reports, which serve as heartbeats.
-	TypeReports
-	// TypeProbe asks for an empty answer, to verify that a connection still works.
-	TypeProbe
-	// TypePeer opens a stream between entries; its payload belongs to package fleet.
-	TypePeer
-)
-
-// Open is the first message on each stream. Exactly the field named by Type is set.
-type Open struct {
-	Type     Type          `cbor:"1,keyasint"`
+// Order is a message from an entry to an agent or to another entry. Exactly one
+// of the pointer fields is set.
+type Order struct {
+	// ID correlates replies with the order. It is unique within a connection.
+	ID       uint64        `cbor:"1,keyasint"`
 	Dispatch *Dispatch     `cbor:"2,keyasint,omitempty"`
 	Attach   *Attach       `cbor:"3,keyasint,omitempty"`
 	Withdraw *Withdraw     `cbor:"4,keyasint,omitempty"`
 	Ticket   *TicketOrder  `cbor:"5,keyasint,omitempty"`
 	Inquire  *Inquire      `cbor:"6,keyasint,omitempty"`
 	Reports  *ReportsOrder `cbor:"7,keyasint,omitempty"`
-	// Peer holds an encoded message of package fleet.
-	Peer []byte `cbor:"8,keyasint,omitempty"`
+	Probe    *Probe        `cbor:"8,keyasint,omitempty"`
+	// Drain sets or clears the agent's drain state.
+	Drain *DrainOrder `cbor:"9,keyasint,omitempty"`
+	// Peer belongs to package fleet.
+	Peer *Peer `cbor:"10,keyasint,omitempty"`
+	// Events asks for events of the time line.
+	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
+}
+
+// Reply is a message from the listening side of a connection. Exactly one of the
+// pointer fields is set.
+type Reply struct {
+	// ID is that of the order.
+	ID      uint64   `cbor:"1,keyasint"`
+	Frame   *Frame   `cbor:"2,keyasint,omitempty"`
+	Verdict *Verdict `cbor:"3,keyasint,omitempty"`
+	Ticket  *Ticket  `cbor:"4,keyasint,omitempty"`
+	Report  *Report  `cbor:"5,keyasint,omitempty"`
+	Probe   *Probe   `cbor:"6,keyasint,omitempty"`
+	Peer    *Peer    `cbor:"7,keyasint,omitempty"`
+	Events  *Events  `cbor:"8,keyasint,omitempty"`
+}
+
+// Peer carries an encoded message of package fleet.
+type Peer struct {
+	Payload []byte `cbor:"1,keyasint,omitempty"`
+	// Error is set in replies to orders that failed.
+	Error string `cbor:"2,keyasint,omitempty"`
+}
+
+// DrainOrder tells an agent its configured drain state.
+type DrainOrder struct {
+	Drain bool `cbor:"1,keyasint"`
+	// Version is that of the endpoints configuration. An agent obeys only greater versions.
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// EventsOrder asks for events of the receiving process.
+type EventsOrder struct {
+	// Since is the oldest wall time in nanoseconds since the Unix epoch.
+	Since    int64       `cbor:"1,keyasint"`
+	Request  id.Request  `cbor:"2,keyasint,omitempty"`
+	Endpoint id.Endpoint `cbor:"3,keyasint,omitempty"`
+	Kind     string      `cbor:"4,keyasint,omitempty"`
+	Limit    int         `cbor:"5,keyasint,omitempty"`
+}
+
+// Events answers EventsOrder.
+type Events struct {
+	Process string           `cbor:"1,keyasint"`
+	Events  []timeline.Event `cbor:"2,keyasint"`
 }
 
 // Class is the predicted amount of work of a request.
@@ -268,7 +298,7 @@
 	Cleared bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Probe answers TypeProbe.
+// Probe verifies that a connection still works. The reply carries the incarnation.
 type Probe struct {
 	Incarnation id.Incarnation `cbor:"1,keyasint"`
 }
