--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/siskinford/siskinford/agent/ledger"
+	"github.com/siskinford/siskinford/agent/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/outcome"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -106,7 +109,7 @@
 	}
 	claims, err := a.tickets.Verify(d.Ticket, d.Team, d.Service)
 	if err != nil {
-		return &msg.Refusal{Code: msg.CodeTicket, Detail: err.Error()}
+		return &msg.Refusal{Code: ticketCode(err), Detail: err.Error()}
 	}
 	if claims.Action != d.Action {
 		return &msg.Refusal{Code: msg.CodeTicket, Detail: "the ticket is for another action"}
@@ -114,12 +117,20 @@
 	return nil
 }
 
+func ticketCode(err error) msg.Code {
+	var invalid *ticket.InvalidError
+	if errors.As(err, &invalid) && invalid.Expired {
+		return msg.CodeTicketExpired
+	}
+	return msg.CodeTicket
+}
+
 func (a *Agent) attach(o *msg.Attach, to sink) {
 	if o.Incarnation != a.incarnation {
 		to.refuse(o.Attempt, &msg.Refusal{Code: msg.CodeIncarnation, Detail: "the agent was restarted"})
 		return
 	}
-	a.ledger.Attach(o.Attempt, o.From, to)
+	a.ledger.Attach(o.Attempt, ledger.Key{Team: o.Team, Action: o.Action}, o.From, to)
 }
 
 // withdraw tombstones an attempt before its start. Afterwards it is cancelled
@@ -130,6 +141,10 @@
 		v.State = msg.StateUnknown
 		return v
 	}
+	if known := a.ledger.Action(ledger.Key{Team: o.Team, Action: o.Action}); known.Attempt != "" && known.Attempt != o.Attempt {
+		known.Incarnation = a.incarnation
+		return &known
+	}
 	a.mu.Lock()
 	a.queue.remove(o.Attempt)
 	a.mu.Unlock()
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -262,11 +262,15 @@
 }
 
 // Attach replays the frames of an attempt from a sequence number on and keeps
-// the sink attached for later ones. An unknown attempt is tombstoned.
-func (l *Ledger) Attach(attempt id.Attempt, from uint32, sink Sink) {
+// the sink attached for later ones. An unknown attempt is tombstoned, unless its
+// action is known: then the frames are those of the action's attempt.
+func (l *Ledger) Attach(attempt id.Attempt, k Key, from uint32, sink Sink) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.attempts[attempt]
+	if !ok && k.Action != "" {
+		r, ok = l.actions[k]
+	}
 	if !ok {
 		r = &record{attempt: Attempt{ID: attempt}}
 		l.attempts[attempt] = r
--- a/agent/ticket/ticket.go
+++ b/agent/ticket/ticket.go
@@ -78,7 +78,11 @@
 }
 
 // InvalidError reports a ticket that is refused.
-type InvalidError struct{ Reason string }
+type InvalidError struct {
+	Reason string
+	// Expired is true if the ticket was valid once.
+	Expired bool
+}
 
 func (e *InvalidError) Error() string { return fmt.Sprintf("ticket is invalid: %s", e.Reason) }
 
@@ -97,7 +101,7 @@
 	case claims.Service != service:
 		return Claims{}, &InvalidError{Reason: fmt.Sprintf("it was issued for service %q", claims.Service)}
 	case i.now().After(claims.Expires()):
-		return Claims{}, &InvalidError{Reason: "it has expired"}
+		return Claims{}, &InvalidError{Reason: "it has expired", Expired: true}
 	}
 	return claims, nil
 }
--- /dev/null
+++ b/entry/caller/caller.go
@@ -0,0 +1,170 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// Catalog answers questions about the configuration in force. It is
+// implemented by *config.Snapshot.
+type Catalog interface {
+	TeamByKey(key string) (config.Team, bool)
+	Service(name id.Service) (config.Service, bool)
+	ServiceByModel(model string) (config.Service, bool)
+	AllServices() []config.Service
+}
+
+// Dispatcher runs calls. It is implemented by *dispatch.Dispatcher.
+type Dispatcher interface {
+	Run(ctx context.Context, c *dispatch.Call, sink dispatch.Sink) dispatch.Result
+}
+
+// Admitter decides whether a call may proceed to dispatch.
+type Admitter interface {
+	// Admit returns a problem if the call is refused, and otherwise a function
+	// that must be called with the number of tokens used when the call has ended.
+	Admit(t config.Team, c *dispatch.Call) (release func(tokens uint32), refused *problem.Problem)
+}
+
+// Actions binds non-idempotent actions to an endpoint and incarnation.
+type Actions interface {
+	// Issue returns a ticket for an action of a team.
+	Issue(ctx context.Context, team id.Team, service id.Service) (Ticket, *problem.Problem)
+	// BindTicket sets Action, Ticket and Bound of a call from a ticket.
+	BindTicket(c *dispatch.Call, ticket string) *problem.Problem
+	// BindKey claims an idempotency key made by the caller and sets Action and Bound.
+	BindKey(ctx context.Context, c *dispatch.Call, key string) *problem.Problem
+	// Inquire reports what is known of the action of a ticket or key.
+	Inquire(ctx context.Context, team id.Team, service id.Service, key string) (Knowledge, *problem.Problem)
+}
+
+// Ticket is the answer to a request for a ticket.
+type Ticket struct {
+	Ticket  string `json:"ticket"`
+	Service string `json:"service"`
+	// ExpiresAt is in RFC 3339 form.
+	ExpiresAt string `json:"expires_at"`
+}
+
+// Knowledge is the answer to a question about an action.
+type Knowledge struct {
+	State   msg.State       `json:"state"`
+	Outcome outcome.Outcome `json:"outcome"`
+}
+
+// Deps are the parts that the API works with.
+type Deps struct {
+	// Catalog returns the configuration in force, or false while there is none.
+	Catalog    func() (Catalog, bool)
+	Dispatcher Dispatcher
+	Admitter   Admitter
+	Actions    Actions
+	Recorder   timeline.Recorder
+	Metrics    *Metrics
+}
+
+// API serves callers.
+type API struct {
+	config Config
+	deps   Deps
+}
+
+// New returns an API.
+func New(c Config, d Deps) *API { return &API{config: c, deps: d} }
+
+// Handler returns the routes of the API.
+func (a *API) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(identify)
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		a.fail(w, r, problem.Newf(problem.NotFound, "path %q does not exist", r.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		a.fail(w, r, problem.Newf(problem.MethodNotAllowed, "method %q is not allowed for path %q", r.Method, r.URL.Path))
+	})
+	r.Post("/v1/chat/completions", a.authenticated(a.chat))
+	r.Get("/v1/models", a.authenticated(a.models))
+	r.Post("/v1/services/{service}/tickets", a.authenticated(a.issueTicket))
+	r.Get("/v1/services/{service}/tickets/{key}", a.authenticated(a.inquire))
+	r.Get("/v1/services/{service}/keys/{key}", a.authenticated(a.inquire))
+	r.HandleFunc("/v1/services/{service}", a.authenticated(a.plain))
+	r.HandleFunc("/v1/services/{service}/*", a.authenticated(a.plain))
+	return r
+}
+
+// requestKey is the context key of the request ID.
+type requestKey struct{}
+
+func identify(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := id.NewRequest()
+		w.Header().Set(problem.HeaderRequest, string(request))
+		ctx := context.WithValue(r.Context(), requestKey{}, request)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func requestID(r *http.Request) id.Request {
+	request, _ := r.Context().Value(requestKey{}).(id.Request)
+	return request
+}
+
+// caller is the context of one authenticated request.
+type caller struct {
+	request id.Request
+	team    config.Team
+	catalog Catalog
+}
+
+func (a *API) authenticated(serve func(http.ResponseWriter, *http.Request, caller)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		catalog, ok := a.deps.Catalog()
+		if !ok {
+			a.fail(w, r, problem.Newf(problem.NotReady, "no configuration is known yet"))
+			return
+		}
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok {
+			a.fail(w, r, problem.Newf(problem.Unauthorized, "header %q must have the form \"Bearer KEY\"", "Authorization"))
+			return
+		}
+		team, ok := catalog.TeamByKey(key)
+		if !ok {
+			a.fail(w, r, problem.Newf(problem.Unauthorized, "the API key does not belong to a team"))
+			return
+		}
+		serve(w, r, caller{request: requestID(r), team: team, catalog: catalog})
+	}
+}
+
+// permitted reports whether a team may use a service.
+func permitted(t config.Team, s id.Service) bool {
+	if len(t.Services) == 0 {
+		return true
+	}
+	for _, name := range t.Services {
+		if name == s {
+			return true
+		}
+	}
+	return false
+}
+
+// fail answers with a problem.
+func (a *API) fail(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
+	p.Request = requestID(r)
+	a.deps.Recorder.Record(timeline.Event{Kind: "request.failed", Request: p.Request, Detail: p.Error()})
+	a.deps.Metrics.failed(p)
+	p.Write(w)
+}
--- /dev/null
+++ b/entry/dispatch/dispatch.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/balance/retry"
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/wire/link"
+)
+
+// Deps are the parts that a Dispatcher works with.
+type Deps struct {
+	Zone      id.Zone
+	Picker    route.Picker
+	Table     Table
+	Budget    *retry.Budget
+	Directory Directory
+	Pool      *link.Pool
+	Recorder  timeline.Recorder
+}
+
+// Dispatcher runs calls. It is safe for concurrent use.
+type Dispatcher struct {
+	config Config
+	deps   Deps
+}
+
+// New returns a Dispatcher.
+func New(c Config, d Deps) *Dispatcher {
+	return &Dispatcher{config: c, deps: d}
+}
+
+// Run runs a call and blocks until its answer has ended or its outcome is as
+// certain as it can become. When ctx ends the caller has left, and the attempt
+// is withdrawn.
+func (d *Dispatcher) Run(ctx context.Context, c *Call, sink Sink) Result {
+	d.deps.Budget.FirstTry()
+	var exclude []id.Endpoint
+	for try := 1; ; try++ {
+		choice, err := d.choose(c, exclude)
+		if err != nil {
+			return Result{Outcome: outcome.NotRun, Problem: noEndpoint(err), Tries: try - 1}
+		}
+		r := d.try(ctx, c, choice, sink)
+		r.Tries = try
+		if r.End != nil && r.Problem == nil {
+			return r
+		}
+		delay, again := d.mayRetry(ctx, c, r)
+		if !again {
+			return r
+		}
+		exclude = append(exclude, choice.Endpoint)
+		d.record(c, "request.retried", r.Attempt, choice.Endpoint, r.Problem.Detail)
+		if !sleep(ctx, delay) {
+			return r
+		}
+	}
+}
+
+// choose returns the bound endpoint of an action, or picks one.
+func (d *Dispatcher) choose(c *Call, exclude []id.Endpoint) (route.Choice, error) {
+	if c.Bound != nil {
+		return route.Choice{Endpoint: c.Bound.Endpoint, Incarnation: c.Bound.Incarnation, Work: c.Work}, nil
+	}
+	request := route.Request{
+		Service: c.Service, Zone: d.deps.Zone, Work: c.Work, PromptBlocks: c.PromptBlocks,
+		Exclude: exclude, Now: time.Now(),
+	}
+	return d.deps.Picker.Pick(request)
+}
+
+func noEndpoint(err error) *problem.Problem {
+	p := problem.Newf(problem.NoEndpoint, "%v", err)
+	p.RetryAfter = time.Second
+	return p
+}
+
+func (d *Dispatcher) try(ctx context.Context, c *Call, choice route.Choice, sink Sink) Result {
+	t := &try{
+		Dispatcher: d,
+		call:       c,
+		choice:     choice,
+		attempt:    id.NewAttempt(),
+		sink:       sink,
+		begun:      time.Now(),
+	}
+	t.assembler = newAssembler(t.attempt, c.Action != "")
+	d.record(c, "request.dispatched", t.attempt, choice.Endpoint, string(choice.Incarnation))
+	if c.Bound == nil {
+		d.deps.Table.Started(choice, t.begun)
+		defer func() { d.deps.Table.Finished(choice, time.Now()) }()
+	}
+	r := t.run(ctx)
+	r.Endpoint = choice.Endpoint
+	r.Attempt = t.attempt
+	r.Delivered = t.delivered
+	return r
+}
+
+// mayRetry decides whether another attempt is permitted and sensible.
+func (d *Dispatcher) mayRetry(ctx context.Context, c *Call, r Result) (time.Duration, bool) {
+	if c.Bound != nil || r.Delivered || ctx.Err() != nil || !retryable(r.Problem) {
+		return 0, false
+	}
+	return d.deps.Budget.Decide(retry.Attempt{
+		Outcome: r.Outcome, Idempotent: c.Idempotent, Tries: r.Tries,
+		RetryAfter: r.Problem.RetryAfter, Deadline: c.Deadline, Now: time.Now(),
+	})
+}
+
+// retryable reports whether another endpoint may answer differently.
+func retryable(p *problem.Problem) bool {
+	switch p.Code {
+	case problem.EndpointRefused, problem.Overloaded, problem.OutcomeUnknown, problem.AnswerIncomplete:
+		return true
+	}
+	return false
+}
+
+func (d *Dispatcher) record(c *Call, kind timeline.Kind, attempt id.Attempt, e id.Endpoint, detail string) {
+	d.deps.Recorder.Record(timeline.Event{
+		Kind: kind, Request: c.Request, Attempt: attempt, Endpoint: e, Detail: detail,
+	})
+}
+
+// sleep waits for a delay and reports false if ctx ended first.
+func sleep(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// errCallerLeft is the cause of attempts withdrawn because the caller closed its connection.
+var errCallerLeft = errors.New("the caller left")
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -176,8 +176,10 @@
 	CodeWithdrawn Code = "withdrawn"
 	// CodePayload refuses another payload under a used action.
 	CodePayload Code = "payload-mismatch"
-	// CodeTicket refuses a ticket that is not genuine, is for another team or has expired.
+	// CodeTicket refuses a ticket that is not genuine or is for another team.
 	CodeTicket Code = "ticket-invalid"
+	// CodeTicketExpired refuses a ticket that was valid once. Its action may have run before.
+	CodeTicketExpired Code = "ticket-expired"
 	// CodeUnknownAttempt answers an attach for an attempt that the agent never saw.
 	CodeUnknownAttempt Code = "unknown-attempt"
 	// CodeLedgerFull refuses an action that the ledger cannot remember.
@@ -203,6 +205,10 @@
 	Attempt     id.Attempt     `cbor:"1,keyasint"`
 	Incarnation id.Incarnation `cbor:"2,keyasint"`
 	From        uint32         `cbor:"3,keyasint"`
+	// Team and Action are set for actions. If the attempt is unknown but its
+	// action is not, the frames of the action's attempt are sent.
+	Team   id.Team   `cbor:"4,keyasint,omitempty"`
+	Action id.Action `cbor:"5,keyasint,omitempty"`
 }
 
 // Withdraw cancels an attempt: before its start it is tombstoned, afterwards it
@@ -210,6 +216,9 @@
 type Withdraw struct {
 	Attempt     id.Attempt     `cbor:"1,keyasint"`
 	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	// Team and Action are set for actions. An action of another attempt is left alone.
+	Team   id.Team   `cbor:"3,keyasint,omitempty"`
+	Action id.Action `cbor:"4,keyasint,omitempty"`
 }
 
 // Inquire asks what is known of an action.
