--- /dev/null
+++ b/balance/prefix/holders.go
@@ -0,0 +1,65 @@
+package prefix
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// holdersPerBlock bounds the endpoints remembered for one block.
+const holdersPerBlock = 4
+
+// holderSet lists the endpoints that stored a block last.
+type holderSet struct {
+	names [holdersPerBlock]id.Endpoint
+	n     uint8
+	next  uint8
+}
+
+func (s holderSet) with(e id.Endpoint) holderSet {
+	for _, name := range s.names[:s.n] {
+		if name == e {
+			return s
+		}
+	}
+	s.names[s.next] = e
+	s.next = (s.next + 1) % holdersPerBlock
+	s.n = min(s.n+1, holdersPerBlock)
+	return s
+}
+
+// holders maps blocks to the endpoints that stored them last.
+type holders struct {
+	turn atomic.Uint32
+
+	mu     sync.RWMutex
+	blocks *generations[holderSet]
+}
+
+func (h *holders) add(block uint64, e id.Endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, _ := h.blocks.get(block)
+	h.blocks.put(block, s.with(e))
+}
+
+// longest returns one of the endpoints known for the longest prefix, in turn.
+func (h *holders) longest(blocks []uint64) (id.Endpoint, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	var found holderSet
+	low, high := 0, len(blocks)
+	for low < high {
+		mid := (low + high + 1) / 2
+		if s, ok := h.blocks.get(blocks[mid-1]); ok {
+			low, found = mid, s
+		} else {
+			high = mid - 1
+		}
+	}
+	if found.n == 0 {
+		return "", false
+	}
+	return found.names[h.turn.Add(1)%uint32(found.n)], true
+}
--- /dev/null
+++ b/balance/route/route.go
@@ -0,0 +1,134 @@
+package route
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Endpoint is the configured part of an endpoint.
+type Endpoint struct {
+	Name    id.Endpoint
+	Service id.Service
+	Zone    id.Zone
+	// Weight scales the share of work. An endpoint of weight 0 receives none.
+	Weight float64
+	// Draining is true if the operators or the host list ask the endpoint to leave.
+	Draining bool
+}
+
+// Report is the load of one endpoint as it reported it.
+type Report struct {
+	Endpoint    id.Endpoint
+	Incarnation id.Incarnation
+	// Seq counts the reports of an incarnation. Older reports are dropped.
+	Seq      uint64
+	Draining bool
+	Healthy  bool
+	// Queued and Running count attempts, the token counts are predicted work.
+	Queued        uint32
+	Running       uint32
+	QueuedTokens  uint64
+	RunningTokens uint64
+	// Slots is the number of attempts that run at the same time.
+	Slots uint32
+	// StepTime is the time per token of a running attempt.
+	StepTime time.Duration
+	// Age is the time since the load was taken, transit included.
+	Age time.Duration
+}
+
+// Request describes the work to place.
+type Request struct {
+	Service id.Service
+	// Zone is the zone of the entry that asks.
+	Zone id.Zone
+	// Work is the predicted number of tokens, prompt and answer.
+	Work uint32
+	// PromptBlocks are the hashes of the prompt's prefix blocks, shortest prefix first.
+	PromptBlocks []uint64
+	// Exclude lists endpoints that must not be picked.
+	Exclude []id.Endpoint
+	Now     time.Time
+	// Explain asks for Choice.Candidates, which costs an allocation.
+	Explain bool
+}
+
+// Choice is the endpoint picked for a request. It comes from a Picker or from Table.Bound.
+type Choice struct {
+	Endpoint    id.Endpoint
+	Incarnation id.Incarnation
+	Zone        id.Zone
+	// Work is the predicted work of the request in tokens.
+	Work uint32
+	// Predicted is the time to first token from the load alone. Pass it to Observe unchanged.
+	Predicted time.Duration
+	// Expected is Predicted corrected by the error of earlier predictions.
+	Expected time.Duration
+	// CachedBlocks is the expected prefix hit in blocks.
+	CachedBlocks int
+	// Candidates are the endpoints compared, if the request asked to explain.
+	Candidates []Candidate
+
+	state *state
+}
+
+// Candidate is one endpoint that a policy compared.
+type Candidate struct {
+	Endpoint     id.Endpoint
+	Zone         id.Zone
+	Predicted    time.Duration
+	Expected     time.Duration
+	ReportAge    time.Duration
+	CachedBlocks int
+	// OpenRequests counts the entry's own requests in flight.
+	OpenRequests int
+	// Remote is true for an endpoint in another zone than the request's.
+	Remote bool
+}
+
+// Picker is a routing policy. Request handlers call Pick on each try; it does not block.
+type Picker interface {
+	// Pick returns the endpoint for a request. The error is a *NoEndpointError
+	// if no endpoint of the service may receive work.
+	Pick(r Request) (Choice, error)
+}
+
+// Prefixes tells which endpoints hold the prefix of a prompt. Pick calls both
+// methods; they must not block.
+type Prefixes interface {
+	// Match returns how many leading blocks the endpoint is expected to hold.
+	Match(blocks []uint64, e id.Endpoint) int
+	// Holder returns an endpoint that is expected to hold many leading blocks.
+	Holder(blocks []uint64) (id.Endpoint, bool)
+}
+
+// Policy names a routing policy.
+type Policy string
+
+const (
+	// PredictedTime picks the least predicted time to first token of a few random endpoints.
+	PredictedTime Policy = "predicted-time"
+	// RoundRobin picks the ready endpoints of the zone in turn.
+	RoundRobin Policy = "round-robin"
+	// LeastConnections picks the ready endpoint of the zone with the fewest own requests in flight.
+	LeastConnections Policy = "least-connections"
+)
+
+// Policies lists the policies that New accepts.
+func Policies() []Policy { return []Policy{PredictedTime, RoundRobin, LeastConnections} }
+
+// New returns the policy of the given name over a table.
+func New(p Policy, t *Table) (Picker, error) {
+	switch p {
+	case PredictedTime:
+		return &predictedTime{table: t}, nil
+	case RoundRobin:
+		return &roundRobin{table: t}, nil
+	case LeastConnections:
+		return &leastConnections{table: t}, nil
+	default:
+		return nil, fmt.Errorf("routing policy %q is not one of %q", p, Policies())
+	}
+}
--- /dev/null
+++ b/balance/route/status.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Status is what a Table knows of one endpoint.
+type Status struct {
+	Endpoint    id.Endpoint
+	Zone        id.Zone
+	Incarnation id.Incarnation
+	// Reason is ReasonReady or tells why the endpoint receives no new work.
+	Reason Reason
+	// Wait is the predicted time until a new request starts.
+	Wait time.Duration
+	// Error is the current correction by the error of earlier predictions.
+	Error time.Duration
+	// ReportAge is the time since the load was taken. Zero if there is no report.
+	ReportAge time.Duration
+	// OpenRequests and OpenTokens count the entry's own requests in flight.
+	OpenRequests int
+	OpenTokens   int64
+}
+
+// Status returns the state of all configured endpoints of a service, for operators.
+func (t *Table) Status(service id.Service, now time.Time) []Status {
+	s := t.view.Load().services[service]
+	if s == nil {
+		return nil
+	}
+	out := make([]Status, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, t.status(m, t.clock(now)))
+	}
+	return out
+}
+
+func (t *Table) status(m *member, now time.Duration) Status {
+	out := Status{
+		Endpoint:     m.Name,
+		Zone:         m.Zone,
+		Reason:       t.reason(m, now),
+		Wait:         t.wait(m, now),
+		Error:        t.missed(m.state, now),
+		OpenRequests: int(m.state.openCount.Load()),
+		OpenTokens:   m.state.openTokens.Load(),
+	}
+	if l := m.state.load.Load(); l != nil {
+		out.Incarnation = l.incarnation
+		out.ReportAge = now - l.taken
+	}
+	return out
+}
+
+// Bound returns the choice for a request that may run only at one incarnation
+// of one endpoint, ready or not. It is false if the table does not know the
+// incarnation as the endpoint's last one.
+func (t *Table) Bound(r Request, e id.Endpoint, inc id.Incarnation) (Choice, bool) {
+	m := t.view.Load().members[e]
+	if m == nil || m.Service != r.Service {
+		return Choice{}, false
+	}
+	l := m.state.load.Load()
+	if l == nil || l.incarnation != inc {
+		return Choice{}, false
+	}
+	return t.chosen(m, r, t.clock(r.Now)), true
+}
--- /dev/null
+++ b/balance/route/table.go
@@ -0,0 +1,228 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Config holds the settings of a Table. Zero values select the defaults.
+type Config struct {
+	// Start is the origin of the table's clock. Default: the time of NewTable.
+	Start time.Time
+	// MaxReportAge is the age beyond which an endpoint is not ready. Unit: duration. Default: 3 s.
+	MaxReportAge time.Duration
+	// Choices is the number of random candidates. Unit: endpoints. Default: 2. Range: 2 to 8.
+	Choices int
+	// RoundTrip is added to the predicted time of endpoints in other zones.
+	// Unit: duration. Default: 3 ms.
+	RoundTrip time.Duration
+	// ErrorMemory is the time after which an observed prediction error is forgotten.
+	// Unit: duration. Default: 4 s.
+	ErrorMemory time.Duration
+	// BlockTokens is the length of a prefix block. Unit: tokens. Default: 64.
+	BlockTokens int
+	// PrefillRate is the speed of reading a prompt that is not cached.
+	// Unit: tokens per step. Default: 256.
+	PrefillRate int
+	// StepTime is assumed for endpoints that report none. Unit: duration. Default: 20 ms.
+	StepTime time.Duration
+	// Prefixes gives expected prefix hits. Default: none expected.
+	Prefixes Prefixes
+	// Rand returns uniform random numbers and is safe for concurrent use.
+	// Default: the runtime's generator.
+	Rand func() uint64
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxReportAge, 3*time.Second)
+	setDefault(&c.RoundTrip, 3*time.Millisecond)
+	setDefault(&c.ErrorMemory, 4*time.Second)
+	setDefault(&c.StepTime, 20*time.Millisecond)
+	setDefault(&c.Choices, 2)
+	setDefault(&c.BlockTokens, 64)
+	setDefault(&c.PrefillRate, 256)
+	c.Choices = min(max(c.Choices, 2), maxChoices)
+	if c.Start.IsZero() {
+		c.Start = time.Now()
+	}
+	if c.Rand == nil {
+		c.Rand = rand.Uint64
+	}
+	return c
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// Table holds the state of all endpoints that an entry may use.
+//
+// Pick reads an immutable view without locks. Reports and configurations replace
+// the part of the view that they change.
+type Table struct {
+	cfg  Config
+	view atomic.Pointer[view]
+
+	// mu guards replacement of view. Lock order: Table.mu before state.mu.
+	mu sync.Mutex
+}
+
+// NewTable returns a table without endpoints.
+func NewTable(cfg Config) *Table {
+	t := &Table{cfg: cfg.withDefaults()}
+	t.view.Store(&view{})
+	return t
+}
+
+func (t *Table) clock(now time.Time) time.Duration { return now.Sub(t.cfg.Start) }
+
+// SetEndpoints replaces the configured endpoints. State of endpoints that remain is kept.
+func (t *Table) SetEndpoints(endpoints []Endpoint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.clock(now)
+	v := t.view.Load().configured(endpoints)
+	for name := range v.services {
+		v = t.relisted(v, name, at)
+	}
+	t.view.Store(v)
+}
+
+// rebuild lists the ready endpoints of a service anew.
+func (t *Table) rebuild(s id.Service, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view.Store(t.relisted(t.view.Load(), s, now))
+}
+
+// Report records a load report. Reports of unknown endpoints, of an earlier
+// incarnation, late and repeated ones are dropped; the result is then false.
+func (t *Table) Report(r Report, now time.Time) bool {
+	m := t.view.Load().members[r.Endpoint]
+	if m == nil {
+		return false
+	}
+	at := t.clock(now)
+	if !m.state.setLoad(t.newLoad(r, at)) {
+		return false
+	}
+	t.settle(m, at)
+	if (t.reason(m, at) == ReasonReady) != m.state.listed.Load() {
+		t.rebuild(m.Service, at)
+	}
+	return true
+}
+
+// settle updates the endpoint's part in the load of its zone.
+func (t *Table) settle(m *member, now time.Duration) {
+	m.state.settle(m.zone, func() (bool, time.Duration) {
+		return t.reason(m, now) == ReasonReady, t.wait(m, now)
+	})
+}
+
+func (t *Table) newLoad(r Report, now time.Duration) *load {
+	l := &load{
+		incarnation: r.Incarnation,
+		seq:         r.Seq,
+		draining:    r.Draining,
+		healthy:     r.Healthy,
+		count:       int64(r.Queued) + int64(r.Running),
+		tokens:      int64(r.QueuedTokens) + int64(r.RunningTokens),
+		slots:       max(int64(r.Slots), 1),
+		step:        r.StepTime,
+		taken:       now - r.Age,
+	}
+	if l.step <= 0 {
+		l.step = t.cfg.StepTime
+	}
+	return l
+}
+
+// Expire takes endpoints whose reports have become too old out of the ready set.
+// A timer calls it; Pick does the same for the services that it meets.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := t.clock(now)
+	v := t.view.Load()
+	for name := range v.services {
+		v = t.relisted(v, name, at)
+	}
+	t.view.Store(v)
+}
+
+// Started records that a request was dispatched to the choice's endpoint.
+func (t *Table) Started(c Choice, now time.Time) {
+	if c.state != nil {
+		c.state.add(c.Incarnation, 1, int64(c.Work), t.clock(now))
+	}
+}
+
+// Finished records that a started request ended, whatever its outcome.
+func (t *Table) Finished(c Choice, now time.Time) {
+	if c.state != nil {
+		c.state.add(c.Incarnation, -1, -int64(c.Work), t.clock(now))
+	}
+}
+
+// Observe records the time to first token of a started request. Callers also
+// report a request that was given up, with the time it had waited.
+func (t *Table) Observe(c Choice, firstToken time.Duration, now time.Time) {
+	if c.state != nil {
+		c.state.observe(c.Incarnation, firstToken-c.Predicted, t.clock(now))
+	}
+}
+
+// reason tells whether an endpoint may receive work.
+func (t *Table) reason(m *member, now time.Duration) Reason {
+	l := m.state.load.Load()
+	switch {
+	case m.Weight <= 0:
+		return ReasonWeight
+	case m.Draining:
+		return ReasonDraining
+	case l == nil:
+		return ReasonNoReport
+	case l.draining:
+		return ReasonDraining
+	case now-l.taken > t.cfg.MaxReportAge:
+		return ReasonStale
+	case !l.healthy:
+		return ReasonUnhealthy
+	default:
+		return ReasonReady
+	}
+}
+
+// noEndpoint returns the error for a service without a ready endpoint.
+func (t *Table) noEndpoint(r Request, now time.Duration) error {
+	err := &NoEndpointError{Service: r.Service}
+	s := t.view.Load().services[r.Service]
+	if s == nil {
+		return err
+	}
+	for _, m := range s.members {
+		reason := t.reason(m, now)
+		if reason == ReasonReady && excluded(r.Exclude, m.Name) {
+			reason = ReasonExcluded
+		}
+		err.Endpoints = append(err.Endpoints, EndpointReason{Endpoint: m.Name, Reason: reason})
+	}
+	return err
+}
+
+func excluded(list []id.Endpoint, e id.Endpoint) bool {
+	for _, x := range list {
+		if x == e {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/balance/route/zone.go
@@ -0,0 +1,52 @@
+package route
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// ZoneSummary is the load of one zone for one service, as entries exchange it.
+type ZoneSummary struct {
+	Service id.Service
+	Zone    id.Zone
+	// Ready counts the endpoints that may receive work.
+	Ready int
+	// Wait is the average predicted time until a request starts.
+	Wait time.Duration
+	// Age is the time since the summary was taken, transit included.
+	Age time.Duration
+}
+
+// Summarize returns the load of a zone from the reports of its endpoints.
+func (t *Table) Summarize(service id.Service, zone id.Zone) (ZoneSummary, bool) {
+	out := ZoneSummary{Service: service, Zone: zone}
+	s := t.view.Load().services[service]
+	if s == nil {
+		return out, false
+	}
+	z := s.zone(zone)
+	if z == nil {
+		return out, false
+	}
+	out.Ready = len(z.ready)
+	if n := z.load.ready.Load(); n > 0 {
+		out.Wait = time.Duration(z.load.nanos.Load() / n)
+	}
+	return out, true
+}
+
+// ReportZone records another zone's summary. While it is fresh it stands in
+// for the average of the reports that this entry has from the zone. An entry
+// then needs the reports of only a few endpoints of that zone.
+func (t *Table) ReportZone(r ZoneSummary, now time.Time) {
+	s := t.view.Load().services[r.Service]
+	if s == nil {
+		return
+	}
+	z := s.zone(r.Zone)
+	if z == nil {
+		return
+	}
+	z.load.summary.Store(&zoneSummary{wait: r.Wait, taken: t.clock(now) - r.Age})
+}
