Endpoint connections, action bindings and final refusals of actions

Cause: a second try of an action must never be told more than is certain. Ways weighed: free an action after a refusal, or keep it refused. Kept refused: an earlier attempt that is still on its way could otherwise run after a caller was told not-run.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -10,7 +10,7 @@
 
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/ledger"
-	"github.com/siskinford/siskinford/agent/ticket"
+	"github.com/siskinford/siskinford/wire/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/keys"
--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/agent/ledger"
-	"github.com/siskinford/siskinford/agent/ticket"
+	"github.com/siskinford/siskinford/wire/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/outcome"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -79,13 +79,8 @@
 	attempt := ledger.Attempt{ID: d.Attempt, Action: d.Action, Team: d.Team, PayloadHash: d.PayloadHash}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.ledger.Known(attempt) {
-		if a.refusesNew() {
-			return &msg.Refusal{Code: msg.CodeDraining, Detail: fmt.Sprintf("endpoint %q takes no new work", a.config.Endpoint)}
-		}
-		if a.queue.len() >= a.config.MaxQueue {
-			return &msg.Refusal{Code: msg.CodeQueueFull, Detail: fmt.Sprintf("%d attempts wait", a.queue.len())}
-		}
+	if refusal := a.refuseNew(attempt); refusal != nil {
+		return refusal
 	}
 	admission, refusal := a.ledger.Admit(attempt, to)
 	if admission == ledger.AdmittedNew {
@@ -95,6 +90,28 @@
 	return refusal
 }
 
+// refuseNew refuses an attempt that is not known while no new work is taken. A
+// refused action is recorded, so that no other attempt of it runs. The caller
+// holds a.mu.
+func (a *Agent) refuseNew(attempt ledger.Attempt) *msg.Refusal {
+	if a.ledger.Known(attempt) {
+		return nil
+	}
+	var refusal *msg.Refusal
+	switch {
+	case a.refusesNew():
+		refusal = &msg.Refusal{Code: msg.CodeDraining, Detail: "the endpoint takes no new work"}
+	case a.queue.len() >= a.config.MaxQueue:
+		refusal = &msg.Refusal{Code: msg.CodeQueueFull, Detail: fmt.Sprintf("%d attempts wait", a.queue.len())}
+	default:
+		return nil
+	}
+	if attempt.Action != "" && !a.ledger.RefuseNew(attempt, *refusal) {
+		return &msg.Refusal{Code: msg.CodeLedgerFull, Detail: refusal.Detail}
+	}
+	return refusal
+}
+
 // check verifies that the dispatch is meant for this incarnation and well formed.
 func (a *Agent) check(d *msg.Dispatch) *msg.Refusal {
 	switch {
--- a/agent/ledger/expire.go
+++ b/agent/ledger/expire.go
@@ -31,7 +31,7 @@
 		return false
 	}
 	retention := l.config.AttemptRetention
-	if r.attempt.Action != "" && r.state == msg.StateDone {
+	if r.attempt.Action != "" {
 		retention = l.config.ActionRetention
 	}
 	return now.Sub(r.settledAt) > retention
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -140,6 +140,10 @@
 func (l *Ledger) Known(a Attempt) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.known(a)
+}
+
+func (l *Ledger) known(a Attempt) bool {
 	if _, ok := l.attempts[a.ID]; ok {
 		return true
 	}
@@ -211,6 +215,24 @@
 	return true
 }
 
+// RefuseNew records an attempt and its action as tombstoned without queueing
+// it. It reports false if attempt or action are known, or if there is no room;
+// an action is then not recorded.
+func (l *Ledger) RefuseNew(a Attempt, refusal msg.Refusal) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known(a) || l.full(a) != nil {
+		return false
+	}
+	r := &record{attempt: a}
+	l.attempts[a.ID] = r
+	if a.Action != "" {
+		l.actions[a.key()] = r
+	}
+	l.tombstone(r, refusal)
+	return true
+}
+
 // NotStarted tombstones a started attempt of which the back end is known to
 // have received nothing.
 func (l *Ledger) NotStarted(attempt id.Attempt, refusal msg.Refusal) {
@@ -223,12 +245,10 @@
 	l.tombstone(r, refusal)
 }
 
-// tombstone settles r and frees its action for another attempt.
+// tombstone settles r. Its action stays bound to it: once an action was refused,
+// no attempt of it will run in this incarnation, also none that is still on its way.
 func (l *Ledger) tombstone(r *record, refusal msg.Refusal) {
 	r.refusal = &refusal
-	if r.attempt.Action != "" && l.actions[r.attempt.key()] == r {
-		delete(l.actions, r.attempt.key())
-	}
 	for _, s := range r.sinks {
 		s.Frame(&msg.Frame{Attempt: r.attempt.ID, Refused: r.refusal})
 	}
@@ -329,17 +349,21 @@
 	return r.state, r.attempt.Action != ""
 }
 
-// Action returns what is known of an action.
+// Action returns what is known of an action. An unknown action may still be on
+// its way, so that its outcome is unknown too.
 func (l *Ledger) Action(k Key) msg.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.actions[k]
 	if !ok {
-		return msg.Verdict{State: msg.StateUnknown, Outcome: outcome.NotRun}
+		return msg.Verdict{State: msg.StateUnknown, Outcome: outcome.Unknown}
 	}
 	v := msg.Verdict{State: r.state, Outcome: outcome.Unknown, Attempt: r.attempt.ID}
-	if r.state == msg.StateDone {
+	switch r.state {
+	case msg.StateDone:
 		v.Outcome = r.end.Outcome
+	case msg.StateTombstoned:
+		v.Outcome = outcome.NotRun
 	}
 	return v
 }
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -22,7 +22,7 @@
 	TeamByKey(key string) (config.Team, bool)
 	Service(name id.Service) (config.Service, bool)
 	ServiceByModel(model string) (config.Service, bool)
-	AllServices() []config.Service
+	Services() []config.Service
 }
 
 // Dispatcher runs calls. It is implemented by *dispatch.Dispatcher.
--- a/entry/caller/plain.go
+++ b/entry/caller/plain.go
@@ -45,13 +45,14 @@
 		return
 	}
 	call := plainCall(r, c, service, body)
-	if p := a.bind(r, call); p != nil {
-		a.fail(w, r, p)
-		return
-	}
 	release, p := a.deps.Admitter.Admit(c.team, call)
 	if p != nil {
-		a.fail(w, r, p)
+		a.fail(w, r, keyed(r, p))
+		return
+	}
+	if p := a.bind(r, call); p != nil {
+		release(0)
+		a.fail(w, r, keyed(r, p))
 		return
 	}
 	broken := a.runPlain(w, r, call)
@@ -114,6 +115,15 @@
 	return out
 }
 
+// keyed completes the problem of a request with an idempotency key: if nothing
+// is known of the action, it says so.
+func keyed(r *http.Request, p *problem.Problem) *problem.Problem {
+	if r.Header.Get(HeaderKey) != "" && p.ActionOutcome == "" {
+		p.ActionOutcome = outcome.Unknown
+	}
+	return p
+}
+
 // bind fixes where a request with an idempotency key may run.
 func (a *API) bind(r *http.Request, call *dispatch.Call) *problem.Problem {
 	key := r.Header.Get(HeaderKey)
@@ -141,7 +151,7 @@
 	case result.Problem == nil:
 		a.fail(w, r, problem.Unknownf(problem.AnswerIncomplete, "endpoint %q sent no status", result.Endpoint))
 	default:
-		a.fail(w, r, result.Problem)
+		a.fail(w, r, keyed(r, result.Problem))
 	}
 	return false
 }
--- a/entry/dispatch/try.go
+++ b/entry/dispatch/try.go
@@ -181,9 +181,23 @@
 	if t.uncertain(r.Code) {
 		p.Outcome = outcome.Unknown
 	}
+	if t.call.Action != "" {
+		p.ActionOutcome = actionOutcome(r.Code, p.Outcome)
+	}
 	return Result{Outcome: p.Outcome, Problem: p}
 }
 
+// actionOutcome tells what a refusal states of the action over all its attempts.
+// An agent that refuses an action refuses every attempt of it, unless it could
+// not record that or the refusal is for another payload.
+func actionOutcome(c msg.Code, o outcome.Outcome) outcome.Outcome {
+	switch c {
+	case msg.CodeLedgerFull, msg.CodePayload, msg.CodeTicket, msg.CodeBadRequest:
+		return outcome.Unknown
+	}
+	return o
+}
+
 // uncertain reports whether the request may have run although the agent refuses
 // it: the agent's former incarnation may have run the attempt or an earlier one
 // of the same action, or the agent no longer remembers.
--- /dev/null
+++ b/entry/endpoints/manager.go
@@ -0,0 +1,239 @@
+// Package endpoints keeps connections to the agents of the endpoints that an
+// entry uses, and feeds their load reports to the routing table.
+package endpoints
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// Config bounds the connections of a Manager.
+type Config struct {
+	// Zone is the entry's own availability zone.
+	Zone id.Zone
+	// Host is the entry's host, which selects its endpoints in other zones.
+	Host id.Host
+	// RemoteEndpoints is the number of endpoints of each service that are used
+	// in each other zone. Default: 4.
+	RemoteEndpoints int
+	// ReportInterval is the time between load reports of endpoints in the own
+	// zone. Default: 250 ms.
+	ReportInterval time.Duration
+	// RemoteReportInterval is the same for other zones. Default: 1 s.
+	RemoteReportInterval time.Duration
+	// RedialInterval is the time between tries to reach an agent. Default: 500 ms.
+	RedialInterval time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		RemoteEndpoints:      4,
+		ReportInterval:       250 * time.Millisecond,
+		RemoteReportInterval: time.Second,
+		RedialInterval:       500 * time.Millisecond,
+	}
+}
+
+// Table is the part of the routing table that a Manager feeds.
+type Table interface {
+	SetEndpoints(endpoints []route.Endpoint, now time.Time)
+	Report(r route.Report, now time.Time) bool
+	Expire(now time.Time)
+}
+
+// CacheSink receives the prefix cache events of endpoints. It must not block.
+type CacheSink interface {
+	CacheEvents(e id.Endpoint, inc id.Incarnation, events []msg.CacheEvent)
+}
+
+// Manager is safe for concurrent use.
+type Manager struct {
+	config   Config
+	table    Table
+	cache    CacheSink
+	pool     *link.Pool
+	recorder timeline.Recorder
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	// mu is taken before the table's and the pool's locks.
+	mu        sync.Mutex
+	addresses map[id.Endpoint]string
+	watchers  map[id.Endpoint]*watcher
+	reports   map[id.Endpoint]Seen
+}
+
+// Seen is the last report of an endpoint.
+type Seen struct {
+	Report msg.Report
+	At     time.Time
+}
+
+// New returns a Manager without endpoints.
+func New(c Config, t Table, cache CacheSink, p *link.Pool, r timeline.Recorder) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{
+		config: c, table: t, cache: cache, pool: p, recorder: r, ctx: ctx, cancel: cancel,
+		addresses: make(map[id.Endpoint]string),
+		watchers:  make(map[id.Endpoint]*watcher),
+		reports:   make(map[id.Endpoint]Seen),
+	}
+	m.wg.Go(m.expire)
+	return m
+}
+
+// Close ends all connections to agents that the manager opened.
+func (m *Manager) Close() {
+	m.cancel()
+	m.wg.Wait()
+}
+
+// Address implements dispatch.Directory.
+func (m *Manager) Address(e id.Endpoint) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	address, ok := m.addresses[e]
+	return address, ok
+}
+
+// Last returns the last report of an endpoint.
+func (m *Manager) Last(e id.Endpoint) (Seen, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen, ok := m.reports[e]
+	return seen, ok
+}
+
+// Update takes over the configured endpoints. Version is that of the endpoints
+// configuration.
+func (m *Manager) Update(endpoints []config.Endpoint, version uint64) {
+	wanted := m.selectUsed(endpoints)
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addresses = make(map[id.Endpoint]string, len(endpoints))
+	for _, e := range endpoints {
+		m.addresses[e.Name] = e.Address
+	}
+	m.table.SetEndpoints(routeEndpoints(wanted), now)
+	used := make(map[id.Endpoint]bool, len(wanted))
+	for _, e := range wanted {
+		used[e.Name] = true
+		m.watch(e, version)
+	}
+	for name, w := range m.watchers {
+		if !used[name] {
+			w.cancel()
+			delete(m.watchers, name)
+			delete(m.reports, name)
+		}
+	}
+}
+
+// watch starts or updates the watcher of an endpoint. The caller holds m.mu.
+func (m *Manager) watch(e config.Endpoint, version uint64) {
+	if w, ok := m.watchers[e.Name]; ok {
+		if w.endpoint.Address == e.Address {
+			w.update(e, version)
+			return
+		}
+		w.cancel()
+	}
+	w := newWatcher(m, e, version)
+	m.watchers[e.Name] = w
+	m.wg.Go(w.run)
+}
+
+func routeEndpoints(endpoints []config.Endpoint) []route.Endpoint {
+	out := make([]route.Endpoint, len(endpoints))
+	for i, e := range endpoints {
+		out[i] = route.Endpoint{Name: e.Name, Service: e.Service, Zone: e.Zone, Weight: weight(e), Draining: e.Drain}
+	}
+	return out
+}
+
+func weight(e config.Endpoint) float64 {
+	if e.Weight == nil {
+		return 1
+	}
+	return *e.Weight
+}
+
+// expireInterval is the time between searches for endpoints without fresh reports.
+const expireInterval = 250 * time.Millisecond
+
+func (m *Manager) expire() {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case now := <-ticker.C:
+			m.table.Expire(now)
+		}
+	}
+}
+
+// report takes over a load report.
+func (m *Manager) report(e id.Endpoint, r *msg.Report) {
+	if r.Endpoint != e {
+		return
+	}
+	now := time.Now()
+	m.mu.Lock()
+	last, known := m.reports[e]
+	m.reports[e] = Seen{Report: *r, At: now}
+	m.mu.Unlock()
+	m.table.Report(routeReport(r), now)
+	if m.cache != nil && len(r.CacheEvents) > 0 {
+		m.cache.CacheEvents(e, r.Incarnation, r.CacheEvents)
+	}
+	m.recordChange(last.Report, known, r)
+}
+
+func (m *Manager) recordChange(last msg.Report, known bool, r *msg.Report) {
+	event := timeline.Event{Endpoint: r.Endpoint, Incarnation: r.Incarnation}
+	switch {
+	case !known || last.Incarnation != r.Incarnation:
+		event.Kind = "endpoint.incarnation"
+	case last.Draining != r.Draining && r.Draining:
+		event.Kind = "endpoint.draining"
+	case last.Draining != r.Draining:
+		event.Kind = "endpoint.undrained"
+	case last.Healthy != r.Healthy && r.Healthy:
+		event.Kind = "endpoint.healthy"
+	case last.Healthy != r.Healthy:
+		event.Kind = "endpoint.unhealthy"
+	default:
+		return
+	}
+	m.recorder.Record(event)
+}
+
+func routeReport(r *msg.Report) route.Report {
+	return route.Report{
+		Endpoint:      r.Endpoint,
+		Incarnation:   r.Incarnation,
+		Seq:           r.Seq,
+		Draining:      r.Draining,
+		Healthy:       r.Healthy,
+		Queued:        r.Queued,
+		Running:       r.Running,
+		QueuedTokens:  r.QueuedTokens,
+		RunningTokens: r.RunningTokens,
+		Slots:         r.Slots,
+		StepTime:      time.Duration(r.StepTime) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/entry/endpoints/watcher.go
@@ -0,0 +1,141 @@
+package endpoints
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// watcher keeps a connection to the agent of one endpoint and subscribes to its reports.
+type watcher struct {
+	manager *Manager
+	ctx     context.Context
+	cancel  context.CancelFunc
+	changed chan struct{}
+
+	// mu is a leaf lock.
+	mu       sync.Mutex
+	endpoint config.Endpoint
+	version  uint64
+}
+
+func newWatcher(m *Manager, e config.Endpoint, version uint64) *watcher {
+	ctx, cancel := context.WithCancel(m.ctx)
+	return &watcher{
+		manager: m, ctx: ctx, cancel: cancel, endpoint: e, version: version,
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// update takes over a later configuration of the endpoint.
+func (w *watcher) update(e config.Endpoint, version uint64) {
+	w.mu.Lock()
+	changed := w.endpoint.Drain != e.Drain
+	w.endpoint = e
+	w.version = version
+	w.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (w *watcher) current() (config.Endpoint, uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.endpoint, w.version
+}
+
+// run connects again whenever the connection is lost.
+func (w *watcher) run() {
+	for w.ctx.Err() == nil {
+		endpoint, _ := w.current()
+		conn, err := w.manager.pool.Conn(w.ctx, endpoint.Address)
+		if err == nil {
+			w.subscribe(conn)
+			continue
+		}
+		if !w.pause() {
+			return
+		}
+	}
+}
+
+func (w *watcher) pause() bool {
+	timer := time.NewTimer(w.manager.config.RedialInterval)
+	defer timer.Stop()
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// subscribe receives reports until the connection or the watcher ends.
+func (w *watcher) subscribe(conn *link.Conn) {
+	endpoint, _ := w.current()
+	interval := w.manager.config.ReportInterval
+	if endpoint.Zone != w.manager.config.Zone {
+		interval = w.manager.config.RemoteReportInterval
+	}
+	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
+	call, err := conn.Send(order, &reportReceiver{manager: w.manager, endpoint: endpoint.Name})
+	if err != nil {
+		w.pause()
+		return
+	}
+	defer call.Release()
+	w.sendDrain(conn)
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-conn.Done():
+			w.manager.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: endpoint.Name})
+			return
+		case <-w.changed:
+			w.sendDrain(conn)
+		}
+	}
+}
+
+// sendDrain tells the agent its configured drain state.
+func (w *watcher) sendDrain(conn *link.Conn) {
+	endpoint, version := w.current()
+	order := &msg.Order{Drain: &msg.DrainOrder{Drain: endpoint.Drain, Version: version}}
+	call, err := conn.Send(order, ignore{})
+	if err == nil {
+		call.Release()
+	}
+}
+
+// reportReceiver is the link.Waiter of a subscription.
+type reportReceiver struct {
+	manager  *Manager
+	endpoint id.Endpoint
+}
+
+func (r *reportReceiver) Reply(reply *msg.Reply) {
+	if reply.Report != nil {
+		r.manager.report(r.endpoint, reply.Report)
+	}
+}
+
+func (r *reportReceiver) Lost(bool, error) {}
+
+// ignore is the link.Waiter of orders without replies.
+type ignore struct{}
+
+func (ignore) Reply(*msg.Reply) {}
+
+func (ignore) Lost(bool, error) {}
--- a/entry/problem/problem.go
+++ b/entry/problem/problem.go
@@ -81,6 +81,9 @@
 	Detail  string          `json:"detail"`
 	Request id.Request      `json:"request,omitempty"`
 	Outcome outcome.Outcome `json:"outcome"`
+	// ActionOutcome is set for requests with a ticket or idempotency key. It
+	// tells what is known of the action over all requests that named it.
+	ActionOutcome outcome.Outcome `json:"action_outcome,omitempty"`
 	// Findings lists all errors of a malformed request with their place.
 	Findings finding.List `json:"findings,omitempty"`
 	// RetryAfter is sent as the Retry-After header. Zero means none.
