--- /dev/null
+++ b/fleet/platform/memstore/memstore.go
@@ -0,0 +1,211 @@
+// Package memstore is an in-memory platform.Store for tests and for the
+// platform stand-in. It keeps nothing beyond the life of the process.
+package memstore
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/fleet/platform"
+)
+
+// historyLen is the number of earlier versions kept for each object.
+const historyLen = 4
+
+// defaultPollWait bounds a watch when Config leaves it at zero.
+const defaultPollWait = 5 * time.Second
+
+// Config configures a Store.
+type Config struct {
+	// PollWait is the time after which a watch without news ends. Default: 5 s.
+	PollWait time.Duration
+}
+
+type key struct{ kind, name string }
+
+// Store holds objects in memory. It is safe for concurrent use.
+type Store struct {
+	pollWait time.Duration
+
+	mu       sync.Mutex // leaf lock: nothing else is locked under it
+	versions map[key][]platform.Object
+	revision uint64
+	changed  chan struct{}
+	hosts    []platform.Host
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New(cfg Config) *Store {
+	if cfg.PollWait == 0 {
+		cfg.PollWait = defaultPollWait
+	}
+	return &Store{
+		pollWait: cfg.PollWait,
+		versions: make(map[key][]platform.Object),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Get returns the current version of an object.
+func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	return s.GetEarlier(ctx, kind, name, 0)
+}
+
+// GetEarlier returns the version of an object that was current back writes ago,
+// or the oldest one kept.
+func (s *Store) GetEarlier(ctx context.Context, kind, name string, back int) (platform.Object, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := earlier(s.versions[key{kind, name}], back)
+	if !exists(o) {
+		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+	}
+	return o, nil
+}
+
+// List returns the current objects of a kind, ordered by name.
+func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	return s.ListEarlier(ctx, kind, 0)
+}
+
+// ListEarlier is List with each object as it was back writes ago.
+func (s *Store) ListEarlier(ctx context.Context, kind string, back int) ([]platform.Object, uint64, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects := s.selectLocked(kind, func(o platform.Object) bool { return !o.Deleted }, back)
+	return objects, s.revision, nil
+}
+
+// Put writes o if the stored version equals o.Version.
+func (s *Store) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.Object{}, err
+	}
+	o.Value = slices.Clone(o.Value)
+	o.Deleted = false
+	return s.write(o)
+}
+
+// Delete removes an object if its stored version equals version.
+func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
+	return s.DeleteAs(ctx, kind, name, version, "")
+}
+
+// DeleteAs is Delete with the writer's ID of the write.
+func (s *Store) DeleteAs(ctx context.Context, kind, name string, version uint64, writeID string) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if _, err := s.Get(ctx, kind, name); err != nil {
+		return err
+	}
+	o := platform.Object{Kind: kind, Name: name, Version: version, WriteID: writeID, Deleted: true}
+	_, err := s.write(o)
+	return err
+}
+
+// Watch returns the objects of a kind written or deleted after a revision. It
+// blocks until there is one, the poll ends or ctx ends.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
+	end := time.NewTimer(s.pollWait)
+	defer end.Stop()
+	for {
+		objects, revision, changed := s.since(kind, after)
+		if len(objects) > 0 {
+			return objects, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// Hosts returns the host list as last set.
+func (s *Store) Hosts(ctx context.Context) ([]platform.Host, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.hosts), nil
+}
+
+// SetHosts replaces the host list.
+func (s *Store) SetHosts(hosts []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = slices.Clone(hosts)
+}
+
+func (s *Store) write(o platform.Object) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{o.Kind, o.Name}
+	current := earlier(s.versions[k], 0)
+	if seen := visibleVersion(current); seen != o.Version {
+		conflict := current
+		conflict.Kind, conflict.Name = o.Kind, o.Name
+		conflict.Version = seen
+		return platform.Object{}, &platform.ConflictError{Want: o.Version, Current: conflict}
+	}
+	s.revision++
+	o.Version = current.Version + 1
+	o.Revision = s.revision
+	kept := append(s.versions[k], o)
+	s.versions[k] = slices.Clone(kept[max(0, len(kept)-historyLen-1):])
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o, nil
+}
+
+func (s *Store) since(kind string, after uint64) ([]platform.Object, uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects := s.selectLocked(kind, func(o platform.Object) bool { return o.Revision > after }, 0)
+	return objects, s.revision, s.changed
+}
+
+func (s *Store) selectLocked(kind string, keep func(platform.Object) bool, back int) []platform.Object {
+	var objects []platform.Object
+	for k, versions := range s.versions {
+		if k.kind != kind {
+			continue
+		}
+		if o := earlier(versions, back); keep(o) {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects
+}
+
+func earlier(versions []platform.Object, back int) platform.Object {
+	if len(versions) == 0 {
+		return platform.Object{}
+	}
+	return versions[max(0, len(versions)-1-back)]
+}
+
+func exists(o platform.Object) bool { return o.Version > 0 && !o.Deleted }
+
+func visibleVersion(o platform.Object) uint64 {
+	if !exists(o) {
+		return 0
+	}
+	return o.Version
+}
--- a/fleet/platform/store.go
+++ b/fleet/platform/store.go
@@ -13,13 +13,16 @@
 type Object struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
-	// Version increases with each write of the object. Zero means that it does not exist.
+	// Version increases by one with each write or deletion of the object, also
+	// over a deletion and a new creation. Zero means that it never existed.
 	Version uint64 `json:"version"`
 	// Revision is the position of the last write in the order of all writes of the store.
 	Revision uint64 `json:"revision"`
 	// WriteID is the random ID that the writer gave to the last write. It
 	// lets a writer recognize its own write after the answer was lost.
 	WriteID string `json:"write_id"`
+	// Deleted marks a deletion in the answer to a watch.
+	Deleted bool `json:"deleted,omitempty"`
 	// Value holds up to MaxValueBytes.
 	Value []byte `json:"value"`
 }
@@ -56,7 +59,8 @@
 	// Put writes o.Value if the stored version equals o.Version (zero: the
 	// object must not exist) and returns the object as written. The error is a
 	// *ConflictError on another version, and an *OutcomeUnknownError if it could
-	// not be learned whether the write took effect.
+	// not be learned whether the write took effect. A creation whose outcome is
+	// unknown may still take effect after a later deletion by another writer.
 	Put(ctx context.Context, o Object) (Object, error)
 	// Delete removes an object if its stored version equals version.
 	Delete(ctx context.Context, kind, name string, version uint64) error
@@ -88,7 +92,8 @@
 		e.Current.Name, e.Current.Kind, e.Current.Version, e.Want)
 }
 
-// OutcomeUnknownError reports a write that may or may not have taken effect.
+// OutcomeUnknownError reports a write that may or may not have taken effect,
+// now or later: it may still be on its way to the platform.
 type OutcomeUnknownError struct {
 	Kind, Name string
 	Cause      error
@@ -109,3 +114,15 @@
 
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// ValueTooLargeError reports a value above MaxValueBytes. Nothing was written.
+type ValueTooLargeError struct {
+	Kind, Name string
+	// Size is the size of the value in bytes.
+	Size int
+}
+
+func (e *ValueTooLargeError) Error() string {
+	return fmt.Sprintf("value of object %q of kind %q has %d bytes, the limit is %d",
+		e.Name, e.Kind, e.Size, MaxValueBytes)
+}
--- /dev/null
+++ b/lab/platform/handler.go
@@ -0,0 +1,255 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/siskinford/siskinford/fleet/platform"
+)
+
+// defaultPollWait bounds a watch that asks for no bound of its own.
+const defaultPollWait = 5 * time.Second
+
+// Handler serves the object API under /v1 and the fault switches under /lab.
+func (p *Platform) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(platform.PathObjects+"/{kind}/{name}", p.call(CallGet, p.get))
+	r.Put(platform.PathObjects+"/{kind}/{name}", p.call(CallPut, p.put))
+	r.Delete(platform.PathObjects+"/{kind}/{name}", p.call(CallDelete, p.delete))
+	r.Get(platform.PathObjects+"/{kind}", p.listOrWatch)
+	r.Get(platform.PathHosts, p.call(CallHosts, p.listHosts))
+	p.labRoutes(r)
+	return r
+}
+
+// call counts a call, applies its rate limit, outage and delay, then runs it.
+func (p *Platform) call(kind CallKind, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.count(r.Header.Get(platform.HeaderCaller), kind)
+		limit := p.reads
+		if kind.isWrite() {
+			limit = p.writes
+		}
+		if !limit.Allow() {
+			p.countLimited()
+			http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+			return
+		}
+		if !p.pass(w, r) {
+			return
+		}
+		next(w, r)
+	}
+}
+
+// pass blocks a call for the length of a hang and of the delay. It reports
+// whether the call goes on.
+func (p *Platform) pass(w http.ResponseWriter, r *http.Request) bool {
+	for {
+		faults, changed := p.outage()
+		switch faults.Outage {
+		case OutageRefuse:
+			http.Error(w, "platform outage", http.StatusServiceUnavailable)
+			return false
+		case OutageHang:
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return false
+			}
+		default:
+			return wait(r.Context(), faults.delay())
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	kind, name := objectKey(r)
+	o, err := p.store.GetEarlier(r.Context(), kind, name, p.Faults().StaleVersions)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, o)
+}
+
+func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has(platform.QueryAfter) {
+		p.call(CallWatch, p.watch)(w, r)
+		return
+	}
+	p.call(CallList, p.list)(w, r)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	kind := pathParam(r, "kind")
+	objects, revision, err := p.store.ListEarlier(r.Context(), kind, p.Faults().StaleVersions)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.ObjectList{Revision: revision, Objects: objects})
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get(platform.QueryAfter), 10, 64)
+	if err != nil {
+		http.Error(w, "query parameter \"after\" is not a revision", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), pollWait(r))
+	defer cancel()
+	objects, revision, err := p.store.Watch(ctx, pathParam(r, "kind"), after)
+	if errors.Is(err, context.DeadlineExceeded) {
+		objects, revision, err = nil, after, nil
+	}
+	if err != nil {
+		return
+	}
+	// A poll that began before an outage must not be answered during it.
+	if !p.pass(w, r) {
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.ObjectList{Revision: revision, Objects: objects})
+}
+
+func pollWait(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.URL.Query().Get(platform.QueryWait))
+	if err != nil || ms <= 0 {
+		return defaultPollWait
+	}
+	return min(time.Duration(ms)*time.Millisecond, platform.MaxPollWait)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	version, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	if err != nil {
+		writeBodyError(w, err)
+		return
+	}
+	kind, name := objectKey(r)
+	o := platform.Object{
+		Kind: kind, Name: name, Version: version,
+		WriteID: r.Header.Get(platform.HeaderWriteID), Value: value,
+	}
+	p.write(w, func(ctx context.Context) (platform.Object, error) {
+		written, err := p.store.Put(ctx, o)
+		written.Value = nil
+		return written, err
+	})
+}
+
+func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
+	version, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	kind, name := objectKey(r)
+	writeID := r.Header.Get(platform.HeaderWriteID)
+	p.write(w, func(ctx context.Context) (platform.Object, error) {
+		err := p.store.DeleteAs(ctx, kind, name, version, writeID)
+		return platform.Object{Kind: kind, Name: name, Deleted: true}, err
+	})
+}
+
+// write applies a write with the faults that concern writes. A write takes
+// effect even if its caller has gone.
+func (p *Platform) write(w http.ResponseWriter, apply func(context.Context) (platform.Object, error)) {
+	ctx := context.Background()
+	if p.takeHold(func() { _, _ = apply(ctx) }) {
+		panic(http.ErrAbortHandler)
+	}
+	o, err := apply(ctx)
+	if p.takeLoss() {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, o)
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, platform.HostList{Hosts: p.visibleHosts(time.Now())})
+}
+
+func objectKey(r *http.Request) (kind, name string) {
+	return pathParam(r, "kind"), pathParam(r, "name")
+}
+
+// pathParam returns a path parameter, which chi leaves escaped if the path has an escape.
+func pathParam(r *http.Request, name string) string {
+	value := chi.URLParam(r, name)
+	if r.URL.RawPath == "" {
+		return value
+	}
+	if plain, err := url.PathUnescape(value); err == nil {
+		return plain
+	}
+	return value
+}
+
+func expectedVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	version, err := strconv.ParseUint(r.URL.Query().Get(platform.QueryVersion), 10, 64)
+	if err != nil {
+		http.Error(w, "query parameter \"version\" is not a version", http.StatusBadRequest)
+		return 0, false
+	}
+	return version, true
+}
+
+func writeBodyError(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, "value exceeds 1 MiB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	http.Error(w, "body cannot be read", http.StatusBadRequest)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var notFound *platform.NotFoundError
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &notFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, conflict.Current)
+	default:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/lab/platform/switches.go
@@ -0,0 +1,65 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/siskinford/siskinford/fleet/platform"
+)
+
+// maxSwitchBytes limits the body of a request that sets faults or hosts.
+const maxSwitchBytes = 1 << 20
+
+// labRoutes adds the switches, which are not part of the platform's API.
+func (p *Platform) labRoutes(r chi.Router) {
+	r.Get("/lab/calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Calls()) })
+	r.Delete("/lab/calls", func(w http.ResponseWriter, _ *http.Request) {
+		p.ResetCalls()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	r.Get("/lab/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Faults()) })
+	r.Put("/lab/faults", p.putFaults)
+	r.Put("/lab/hosts", p.putHosts)
+	r.Post("/lab/held/release", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, Released{Writes: p.ReleaseWrites()})
+	})
+}
+
+// Released is the answer to a request that releases held writes.
+type Released struct {
+	// Writes is the number of writes that were released.
+	Writes int `json:"writes"`
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	if err := p.SetFaults(f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
+	var l platform.HostList
+	if !readJSON(w, r, &l) {
+		return
+	}
+	p.SetHosts(l.Hosts)
+	writeJSON(w, http.StatusOK, l)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSwitchBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
