--- /dev/null
+++ b/lab/faultproxy/tcp.go
@@ -0,0 +1,175 @@
+package faultproxy
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// chunkLen is the size of the reads from a TCP connection. Unit: bytes.
+const chunkLen = 32 * 1024
+
+// TCP forwards TCP connections to a target. It is safe for concurrent use.
+type TCP struct {
+	target   string
+	listener net.Listener
+	state    *state
+	done     chan struct{}
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex // guards the fields below
+	flows map[*tcpFlow]struct{}
+}
+
+// tcpFlow is one forwarded connection.
+type tcpFlow struct {
+	client, target net.Conn
+	silent         chan struct{}
+	silence        sync.Once
+	closed         chan struct{}
+	closing        sync.Once
+}
+
+// NewTCP listens on a free loopback port and forwards to target.
+func NewTCP(target string, seed uint64) (*TCP, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy cannot listen")
+	}
+	p := &TCP{
+		target: target, listener: l, state: newState(seed),
+		done: make(chan struct{}), flows: make(map[*tcpFlow]struct{}),
+	}
+	p.wg.Go(p.accept)
+	return p, nil
+}
+
+// Addr returns the address to connect to.
+func (p *TCP) Addr() string { return p.listener.Addr().String() }
+
+// Set replaces the faults.
+func (p *TCP) Set(f Faults) { p.state.set(f) }
+
+// SilenceExisting makes the present connections silent for good: they stay
+// open, and what is sent on them is lost. New connections work.
+func (p *TCP) SilenceExisting() {
+	for _, f := range p.present() {
+		f.silence.Do(func() { close(f.silent) })
+	}
+}
+
+// CutExisting closes the present connections on both sides.
+func (p *TCP) CutExisting() {
+	for _, f := range p.present() {
+		f.close()
+	}
+}
+
+// Close ends the proxy and its connections and waits for its goroutines.
+func (p *TCP) Close() {
+	close(p.done)
+	_ = p.listener.Close()
+	p.CutExisting()
+	p.wg.Wait()
+}
+
+func (p *TCP) present() []*tcpFlow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	flows := make([]*tcpFlow, 0, len(p.flows))
+	for f := range p.flows {
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+func (p *TCP) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.wg.Go(func() { p.serve(conn) })
+	}
+}
+
+func (p *TCP) serve(client net.Conn) {
+	target, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	f := &tcpFlow{client: client, target: target, silent: make(chan struct{}), closed: make(chan struct{})}
+	p.mu.Lock()
+	p.flows[f] = struct{}{}
+	p.mu.Unlock()
+	select {
+	case <-p.done:
+		f.close()
+	default:
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pump(f, client, target, toTarget) })
+	wg.Go(func() { p.pump(f, target, client, toClient) })
+	wg.Wait()
+	f.close()
+	p.mu.Lock()
+	delete(p.flows, f)
+	p.mu.Unlock()
+}
+
+// pump copies one direction until it ends, and passes the end on.
+func (p *TCP) pump(f *tcpFlow, from, to net.Conn, d direction) {
+	buf := make([]byte, chunkLen)
+	for {
+		n, err := from.Read(buf)
+		if !p.forward(f, to, buf[:n], d, err != nil) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// forward writes one chunk, and the end of the direction if it is the last.
+func (p *TCP) forward(f *tcpFlow, to net.Conn, chunk []byte, d direction, last bool) bool {
+	faults, _ := p.state.get()
+	if !pause(f.closed, faults.Delay) {
+		return false
+	}
+	if !p.state.await(f.closed, func(faults Faults) bool { return faults.Freeze || faults.cut(d) }) {
+		return false
+	}
+	select {
+	case <-f.silent:
+		if last {
+			<-f.closed
+		}
+		return true
+	default:
+	}
+	if _, err := to.Write(chunk); err != nil {
+		f.close()
+		return false
+	}
+	if last {
+		closeWrite(to)
+	}
+	return true
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (f *tcpFlow) close() {
+	f.closing.Do(func() {
+		close(f.closed)
+		_ = f.client.Close()
+		_ = f.target.Close()
+	})
+}
--- /dev/null
+++ b/lab/faultproxy/udp.go
@@ -0,0 +1,215 @@
+package faultproxy
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxPacketLen is the largest UDP payload. Unit: bytes.
+const maxPacketLen = 64 * 1024
+
+// UDP forwards UDP packets to a target. A flow is a client's address and port,
+// with a port of the proxy's own towards the target. It is safe for concurrent use.
+type UDP struct {
+	target *net.UDPAddr
+	conn   *net.UDPConn
+	state  *state
+	done   chan struct{}
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex // guards the fields below; the state's lock may be taken under it
+	flows map[netip.AddrPort]*udpFlow
+}
+
+// udpFlow is one client's exchange with the target.
+type udpFlow struct {
+	client   netip.AddrPort
+	upstream *net.UDPConn
+	queues   [2]chan packet
+	silent   chan struct{}
+	silence  sync.Once
+}
+
+// packet is one payload and the time at which it is due.
+type packet struct {
+	payload []byte
+	due     time.Time
+}
+
+// NewUDP listens on a free loopback port and forwards to target.
+func NewUDP(target string, seed uint64) (*UDP, error) {
+	addr, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		return nil, errors.Wrapf(err, "target %q of the proxy", target)
+	}
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy cannot listen")
+	}
+	p := &UDP{
+		target: addr, conn: conn, state: newState(seed),
+		done: make(chan struct{}), flows: make(map[netip.AddrPort]*udpFlow),
+	}
+	p.wg.Go(p.receive)
+	return p, nil
+}
+
+// Addr returns the address to send to.
+func (p *UDP) Addr() string { return p.conn.LocalAddr().String() }
+
+// Set replaces the faults.
+func (p *UDP) Set(f Faults) { p.state.set(f) }
+
+// SilenceExisting drops the packets of the present flows for good. A client
+// gets through again from another port.
+func (p *UDP) SilenceExisting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.flows {
+		f.silence.Do(func() { close(f.silent) })
+	}
+}
+
+// Close ends the proxy and waits for its goroutines.
+func (p *UDP) Close() {
+	close(p.done)
+	_ = p.conn.Close()
+	p.mu.Lock()
+	for _, f := range p.flows {
+		_ = f.upstream.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+func (p *UDP) receive() {
+	buf := make([]byte, maxPacketLen)
+	for {
+		n, client, err := p.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if p.ended() {
+				return
+			}
+			continue
+		}
+		if f := p.flow(client); f != nil {
+			p.enqueue(f, toTarget, buf[:n])
+		}
+	}
+}
+
+func (p *UDP) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// flow returns the flow of a client and opens it if needed.
+func (p *UDP) flow(client netip.AddrPort) *udpFlow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f := p.flows[client]; f != nil || p.ended() {
+		return f
+	}
+	upstream, err := net.DialUDP("udp", nil, p.target)
+	if err != nil {
+		return nil
+	}
+	f := &udpFlow{client: client, upstream: upstream, silent: make(chan struct{})}
+	f.queues = [2]chan packet{make(chan packet, queueLen), make(chan packet, queueLen)}
+	p.flows[client] = f
+	p.wg.Go(func() { p.receiveUpstream(f) })
+	p.wg.Go(func() { p.send(f, toTarget) })
+	p.wg.Go(func() { p.send(f, toClient) })
+	return f
+}
+
+func (p *UDP) receiveUpstream(f *udpFlow) {
+	buf := make([]byte, maxPacketLen)
+	for {
+		n, err := f.upstream.Read(buf)
+		if err == nil {
+			p.enqueue(f, toClient, buf[:n])
+			continue
+		}
+		// An ICMP refusal is reported here and does not end the flow.
+		if p.ended() || errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}
+}
+
+// enqueue applies the faults that drop, repeat or delay a packet.
+func (p *UDP) enqueue(f *udpFlow, d direction, payload []byte) {
+	faults, _ := p.state.get()
+	select {
+	case <-f.silent:
+		return
+	default:
+	}
+	if faults.cut(d) || p.state.hits(faults.Loss) {
+		return
+	}
+	copies := 1
+	if p.state.hits(faults.Duplicate) {
+		copies = 2
+	}
+	pkt := packet{payload: append([]byte{}, payload...), due: time.Now().Add(faults.Delay)}
+	for range copies {
+		if p.state.hits(faults.Reorder) {
+			p.sendLate(f, d, pkt)
+			continue
+		}
+		select {
+		case f.queues[d] <- pkt:
+		default: // the queue is full, as a router's would be
+		}
+	}
+}
+
+// sendLate lets later packets overtake this one.
+func (p *UDP) sendLate(f *udpFlow, d direction, pkt packet) {
+	p.wg.Go(func() {
+		if pause(p.done, time.Until(pkt.due)+reorderDelay) {
+			p.deliver(f, d, pkt)
+		}
+	})
+}
+
+// send delivers the packets of one direction in order, each when it is due.
+func (p *UDP) send(f *udpFlow, d direction) {
+	for {
+		select {
+		case pkt := <-f.queues[d]:
+			if !pause(p.done, time.Until(pkt.due)) {
+				return
+			}
+			p.deliver(f, d, pkt)
+		case <-p.done:
+			return
+		}
+	}
+}
+
+func (p *UDP) deliver(f *udpFlow, d direction, pkt packet) {
+	if !p.state.await(p.done, func(faults Faults) bool { return faults.Freeze }) {
+		return
+	}
+	select {
+	case <-f.silent:
+		return
+	default:
+	}
+	if d == toTarget {
+		_, _ = f.upstream.Write(pkt.payload)
+		return
+	}
+	_, _ = p.conn.WriteToUDPAddrPort(pkt.payload, f.client)
+}
