Settings, thin programs, in-process fleet and demo, unfinished

Change: settings from flags and environment with all findings at once, exit codes, entry server, programs, fleet and tour.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -10,6 +10,7 @@
 
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/ledger"
+	"github.com/siskinford/siskinford/agent/plain"
 	"github.com/siskinford/siskinford/wire/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -23,10 +24,10 @@
 
 // PlainBackend runs HTTP requests at a plain service.
 type PlainBackend interface {
-	// Run forwards p and blocks until the answer has ended. It never repeats a
-	// request. The error is an *engine.NotStartedError only if no byte of the
+	// Do forwards p and blocks until the answer has ended. It never repeats a
+	// request. The error is a *plain.NotStartedError only if no byte of the
 	// request can have reached the service.
-	Run(ctx context.Context, p *msg.Plain, head func(msg.Head) error, body func([]byte) error) error
+	Do(ctx context.Context, p *msg.Plain, w plain.Writer) error
 }
 
 // Deps are the parts that an agent works with. Exactly one of Engine and Plain is set.
@@ -62,6 +63,9 @@
 	leaving  bool   // set by shutdown, never cleared
 }
 
+// Reload reads the key material again.
+func (a *Agent) Reload() error { return a.deps.Keys.Reload() }
+
 // run is one attempt that was handed to the back end.
 type run struct {
 	item   item
--- a/agent/gate/run.go
+++ b/agent/gate/run.go
@@ -1,12 +1,14 @@
 package gate
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/agent/engine"
+	"github.com/siskinford/siskinford/agent/plain"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/outcome"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -84,8 +86,7 @@
 	} else {
 		err = a.runPlain(ctx, d)
 	}
-	var notStarted *engine.NotStartedError
-	if errors.As(err, &notStarted) {
+	if notStarted(err) {
 		a.ledger.NotStarted(d.Attempt, msg.Refusal{Code: msg.CodeBackend, Detail: err.Error()})
 		a.record(timeline.Event{Kind: "attempt.refused", Request: d.Request, Attempt: d.Attempt, Detail: string(msg.CodeBackend)})
 		return
@@ -119,13 +120,28 @@
 }
 
 func (a *Agent) runPlain(ctx context.Context, d *msg.Dispatch) error {
-	head := func(h msg.Head) error {
-		a.ledger.Append(d.Attempt, msg.Frame{Head: &h})
-		return nil
-	}
-	body := func(b []byte) error {
-		a.ledger.Append(d.Attempt, msg.Frame{Data: append([]byte(nil), b...)})
-		return nil
-	}
-	return a.deps.Plain.Run(ctx, d.Plain, head, body)
+	return a.deps.Plain.Do(ctx, d.Plain, &plainAnswer{agent: a, attempt: d.Attempt})
+}
+
+// plainAnswer records the answer of a plain service. It implements plain.Writer.
+type plainAnswer struct {
+	agent   *Agent
+	attempt id.Attempt
+}
+
+func (p *plainAnswer) Head(h msg.Head) error {
+	p.agent.ledger.Append(p.attempt, msg.Frame{Head: &h})
+	return nil
+}
+
+func (p *plainAnswer) Write(b []byte) (int, error) {
+	p.agent.ledger.Append(p.attempt, msg.Frame{Data: bytes.Clone(b)})
+	return len(b), nil
+}
+
+// notStarted reports whether the back end is known to have received nothing.
+func notStarted(err error) bool {
+	var byEngine *engine.NotStartedError
+	var byPlain *plain.NotStartedError
+	return errors.As(err, &byEngine) || errors.As(err, &byPlain)
 }
--- /dev/null
+++ b/cmd/siskinford-lab/main.go
@@ -0,0 +1,26 @@
+// Command siskinford-lab runs stand-ins, a demonstration fleet and measurements.
+// It is not needed in production.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/siskinford/siskinford/lab/demo"
+	"github.com/siskinford/siskinford/lab/serve"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&demo.Command{}, "fleet")
+	subcommands.Register(&serve.Platform{}, "stand-ins")
+	subcommands.Register(&serve.Engine{}, "stand-ins")
+	subcommands.Register(&serve.Plain{}, "stand-ins")
+	subcommands.Register(&serve.Certs{}, "stand-ins")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/core/process/process.go
@@ -0,0 +1,112 @@
+// Package process holds what the programs share: exit codes, signals and logs.
+package process
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/core/settings"
+)
+
+// Exit codes of all programs.
+const (
+	// ExitOK means success.
+	ExitOK = 0
+	// ExitFailure means that the program failed after it started.
+	ExitFailure = 1
+	// ExitUsage means that settings or arguments are invalid. No port was opened.
+	ExitUsage = 2
+	// ExitCutOff means that a shutdown cut off requests in flight.
+	ExitCutOff = 3
+)
+
+// Daemon is what a program runs until it is told to stop.
+type Daemon interface {
+	// Start begins to serve and returns.
+	Start() error
+	// Shutdown finishes the requests in flight. When ctx ends first, they are
+	// cut off and an error is returned.
+	Shutdown(ctx context.Context) error
+	// Reload reads key material again.
+	Reload() error
+}
+
+// ParseSettings parses settings and prints help or findings. Ok is false if the
+// program must exit with the returned code.
+func ParseSettings(s *settings.Set, args []string, stdout, stderr io.Writer) (code int, ok bool) {
+	err := s.Parse(args)
+	switch {
+	case err == nil:
+		return ExitOK, true
+	case errors.Is(err, flag.ErrHelp):
+		s.WriteHelp(stdout)
+		return ExitOK, false
+	}
+	PrintFindings(stderr, err)
+	return ExitUsage, false
+}
+
+// PrintFindings prints an error of invalid settings, one finding a line.
+func PrintFindings(w io.Writer, err error) {
+	fmt.Fprintf(w, "invalid settings:\n%v\n", err)
+}
+
+// NewLog returns a logger that writes JSON lines to w.
+func NewLog(w io.Writer, program, host string, debug bool) zerolog.Logger {
+	level := zerolog.InfoLevel
+	if debug {
+		level = zerolog.DebugLevel
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Str("program", program).Str("host", host).Logger()
+}
+
+// Run starts a daemon, waits for a signal and shuts down within bound. A second
+// signal ends the wait for requests in flight. SIGHUP reloads key material.
+func Run(d Daemon, log zerolog.Logger, bound time.Duration) int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	if err := d.Start(); err != nil {
+		log.Error().Err(err).Str("event", "process.failed").Msg("start failed")
+		return ExitFailure
+	}
+	awaitStop(d, log, signals)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	go func() {
+		for sig := range signals {
+			if sig != syscall.SIGHUP {
+				cancel()
+				return
+			}
+		}
+	}()
+	log.Info().Str("event", "process.stopping").Dur("bound", bound).Msg("shutting down")
+	if err := d.Shutdown(ctx); err != nil {
+		log.Error().Err(err).Str("event", "process.cut_off").Msg("shutdown cut off requests")
+		return ExitCutOff
+	}
+	return ExitOK
+}
+
+func awaitStop(d Daemon, log zerolog.Logger, signals <-chan os.Signal) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			return
+		}
+		if err := d.Reload(); err != nil {
+			log.Error().Err(err).Str("event", "keys.reload_failed").Msg("former keys stay in use")
+			continue
+		}
+		log.Info().Str("event", "keys.reloaded").Msg("new connections use the new keys")
+	}
+}
--- a/core/timeline/filter.go
+++ b/core/timeline/filter.go
@@ -1,6 +1,9 @@
 package timeline
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/siskinford/siskinford/core/id"
 )
 
@@ -38,3 +41,16 @@
 	}
 	return events
 }
+
+// Sort orders events of several processes by their stamps.
+func Sort(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		switch {
+		case a.Stamp.Before(b.Stamp):
+			return -1
+		case b.Stamp.Before(a.Stamp):
+			return 1
+		}
+		return strings.Compare(a.Process, b.Process)
+	})
+}
--- a/entry/endpoints/manager.go
+++ b/entry/endpoints/manager.go
@@ -107,6 +107,20 @@
 	return address, ok
 }
 
+// Settled reports whether every endpoint in use has reported once or failed to.
+func (m *Manager) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range m.watchers {
+		select {
+		case <-w.settled:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // Last returns the last report of an endpoint.
 func (m *Manager) Last(e id.Endpoint) (Seen, bool) {
 	m.mu.Lock()
--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -18,6 +18,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	changed chan struct{}
+	// settled is closed after the first report or failure.
+	settled     chan struct{}
+	settledOnce sync.Once
 
 	// mu is a leaf lock.
 	mu       sync.Mutex
@@ -29,10 +32,12 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	return &watcher{
 		manager: m, ctx: ctx, cancel: cancel, endpoint: e, version: version,
-		changed: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), settled: make(chan struct{}),
 	}
 }
 
+func (w *watcher) settle() { w.settledOnce.Do(func() { close(w.settled) }) }
+
 // update takes over a later configuration of the endpoint.
 func (w *watcher) update(e config.Endpoint, version uint64) {
 	w.mu.Lock()
@@ -64,6 +69,7 @@
 			w.subscribe(conn)
 			continue
 		}
+		w.settle()
 		if !w.pause() {
 			return
 		}
@@ -89,7 +95,7 @@
 		interval = w.manager.config.RemoteReportInterval
 	}
 	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
-	call, err := conn.Send(order, &reportReceiver{manager: w.manager, endpoint: endpoint.Name})
+	call, err := conn.Send(order, &reportReceiver{watcher: w, endpoint: endpoint.Name})
 	if err != nil {
 		w.pause()
 		return
@@ -121,13 +127,14 @@
 
 // reportReceiver is the link.Waiter of a subscription.
 type reportReceiver struct {
-	manager  *Manager
+	watcher  *watcher
 	endpoint id.Endpoint
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
 	if reply.Report != nil {
-		r.manager.report(r.endpoint, reply.Report)
+		r.watcher.manager.report(r.endpoint, reply.Report)
+		r.watcher.settle()
 	}
 }
 
--- /dev/null
+++ b/entry/server/config.go
@@ -0,0 +1,81 @@
+// Package server is the entry: it serves callers and operators and connects the
+// libraries of an entry host.
+package server
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/caller"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/wire/link"
+)
+
+// Config describes one entry.
+type Config struct {
+	// Host is the name of this machine. Required.
+	Host id.Host
+	// Zone is the availability zone of this machine. Required.
+	Zone id.Zone
+	// Region is the region of the zone. Default: empty.
+	Region id.Region
+	// CallerListen is the TCP address for callers. Default: 127.0.0.1:8080.
+	CallerListen string
+	// OperatorListen is the TCP address for operators. Default: 127.0.0.1:8081.
+	OperatorListen string
+	// PeerListen is the UDP address for other entries. Default: 127.0.0.1:8082.
+	PeerListen string
+	// Policy is the routing policy. Default: predicted-time.
+	Policy route.Policy
+	// ReadyDelay is the time between the first failing answer of /readyz and the
+	// end of accepting connections at shutdown. Default: 0.
+	ReadyDelay time.Duration
+	// Events is the number of events that the time line keeps. Default: 20,000.
+	Events    int
+	Caller    caller.Config
+	Dispatch  dispatch.Config
+	Endpoints endpoints.Config
+	Link      link.Config
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		CallerListen:   "127.0.0.1:8080",
+		OperatorListen: "127.0.0.1:8081",
+		PeerListen:     "127.0.0.1:8082",
+		Policy:         route.PredictedTime,
+		Events:         20_000,
+		Caller:         caller.DefaultConfig(),
+		Dispatch:       dispatch.DefaultConfig(),
+		Endpoints:      endpoints.DefaultConfig(),
+		Link:           link.DefaultConfig(),
+	}
+}
+
+// Validate reports all values out of range.
+func (c Config) Validate() finding.List {
+	var l finding.List
+	if c.Host == "" {
+		l.Addf("host", "is not set")
+	}
+	if c.Zone == "" {
+		l.Addf("zone", "is not set")
+	}
+	if _, err := route.New(c.Policy, route.NewTable(route.Config{})); err != nil {
+		l.Addf("policy", "%v", err)
+	}
+	if c.Events <= 0 {
+		l.Addf("events", "%d is not positive", c.Events)
+	}
+	if c.ReadyDelay < 0 {
+		l.Addf("ready-delay", "duration %v is negative", c.ReadyDelay)
+	}
+	l.Merge("", c.Caller.Validate())
+	l.Merge("", c.Dispatch.Validate())
+	l.Merge("link-", c.Link.Validate())
+	return l
+}
--- /dev/null
+++ b/entry/server/server.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/balance/retry"
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/actions"
+	"github.com/siskinford/siskinford/entry/caller"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+)
+
+// Deps are the parts that an entry works with.
+type Deps struct {
+	Store platform.Store
+	Keys  *keys.Ring
+	Ring  *timeline.Ring
+	Log   zerolog.Logger
+}
+
+// Server is one entry. It is safe for concurrent use.
+type Server struct {
+	config  Config
+	deps    Deps
+	metrics *metrics.Set
+
+	state     *state
+	pool      *link.Pool
+	table     *route.Table
+	endpoints *endpoints.Manager
+	callers   *http.Server
+	operators *http.Server
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+
+	ctx      context.Context // ends background work and requests that are cut off
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns an entry. Start must be called to serve.
+func New(c Config, d Deps) (*Server, error) {
+	if err := c.Validate().Err(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
+	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent, keys.RoleEntry) })
+	s.table = route.NewTable(route.Config{})
+	picker, err := route.New(c.Policy, s.table)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	endpointConfig := c.Endpoints
+	endpointConfig.Zone = c.Zone
+	endpointConfig.Host = c.Host
+	s.endpoints = endpoints.New(endpointConfig, s.table, nil, s.pool, d.Ring)
+	s.state = newState(d.Ring, func(n *config.Snapshot) {
+		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+	})
+	s.callers = s.newCallerServer(picker)
+	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
+	return s, nil
+}
+
+func (s *Server) newCallerServer(picker route.Picker) *http.Server {
+	dispatcher := dispatch.New(s.config.Dispatch, dispatch.Deps{
+		Zone: s.config.Zone, Picker: picker, Table: s.table, Budget: retry.NewBudget(retry.Config{}),
+		Directory: s.endpoints, Pool: s.pool, Recorder: s.deps.Ring,
+	})
+	api := caller.New(s.config.Caller, caller.Deps{
+		Catalog:    s.catalog,
+		Dispatcher: dispatcher,
+		Admitter:   unlimited{},
+		Actions: actions.New(actions.Deps{
+			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
+		}),
+		Recorder: s.deps.Ring,
+		Metrics:  caller.NewMetrics(s.metrics),
+	})
+	return &http.Server{
+		Handler:           s.counted(api.Handler()),
+		ReadHeaderTimeout: s.config.Caller.ReadTimeout,
+		ReadTimeout:       s.config.Caller.ReadTimeout,
+		MaxHeaderBytes:    s.config.Caller.MaxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return s.ctx },
+	}
+}
+
+// catalog returns the configuration in force once all kinds are known.
+func (s *Server) catalog() (caller.Catalog, bool) {
+	snapshot := s.state.current.Load()
+	return snapshot, snapshot.Complete()
+}
+
+func (s *Server) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Start listens and begins to serve.
+func (s *Server) Start() error {
+	var err error
+	if s.callerListener, err = net.Listen("tcp", s.config.CallerListen); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if s.operatorListener, err = net.Listen("tcp", s.config.OperatorListen); err != nil {
+		_ = s.callerListener.Close()
+		return errors.Wrap(err, "listen for operators")
+	}
+	s.wg.Go(func() { s.watchPlatform(s.ctx, s.deps.Store) })
+	s.wg.Go(func() { _ = s.callers.Serve(s.callerListener) })
+	s.wg.Go(func() { _ = s.operators.Serve(s.operatorListener) })
+	s.deps.Ring.Record(timeline.Event{Kind: "entry.started", Detail: s.CallerAddress()})
+	s.deps.Log.Info().Str("event", "entry.started").Str("callers", s.CallerAddress()).
+		Str("operators", s.OperatorAddress()).Msg("entry serves")
+	return nil
+}
+
+// CallerAddress returns the TCP address for callers.
+func (s *Server) CallerAddress() string { return s.callerListener.Addr().String() }
+
+// OperatorAddress returns the TCP address for operators.
+func (s *Server) OperatorAddress() string { return s.operatorListener.Addr().String() }
+
+// Reload reads the key material again.
+func (s *Server) Reload() error { return s.deps.Keys.Reload() }
+
+// Shutdown stops accepting requests and waits for those in flight. When ctx ends
+// first, they are cut off, and each is told what is known of its outcome.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.deps.Ring.Record(timeline.Event{Kind: "entry.stopping"})
+	sleep(ctx, s.config.ReadyDelay)
+	err := s.callers.Shutdown(ctx)
+	if err != nil {
+		err = errors.Newf("%d requests were cut off", s.inFlight.Load())
+		s.cancel()
+		s.awaitCutOff()
+	}
+	s.cancel()
+	_ = s.operators.Close()
+	_ = s.callers.Close()
+	s.endpoints.Close()
+	s.pool.Close()
+	s.wg.Wait()
+	return err
+}
+
+// cutOffWait bounds the time in which requests that are cut off get their answer.
+const cutOffWait = 2 * time.Second
+
+func (s *Server) awaitCutOff() {
+	ctx, cancel := context.WithTimeout(context.Background(), cutOffWait)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx)
+}
--- /dev/null
+++ b/entry/server/settings.go
@@ -0,0 +1,23 @@
+package server
+
+import "github.com/siskinford/siskinford/core/settings"
+
+// Register registers the settings of an entry, with the values of c as defaults.
+func (c *Config) Register(s *settings.Set) {
+	settings.Text(s, &c.Host, "host", "Name of this machine", settings.Required())
+	settings.Text(s, &c.Zone, "zone", "Availability zone of this machine", settings.Required())
+	settings.Text(s, &c.Region, "region", "Region of the availability zone")
+	s.Address(&c.CallerListen, "caller-listen", "TCP address for callers")
+	s.Address(&c.OperatorListen, "operator-listen", "TCP address for operators")
+	s.Address(&c.PeerListen, "peer-listen", "UDP address for other entries")
+	settings.Text(s, &c.Policy, "policy", "Routing policy: predicted-time, round-robin or least-connections")
+	s.Duration(&c.ReadyDelay, "ready-delay", "Time between failing /readyz and refusing connections at shutdown")
+	s.Int(&c.Events, "events", "events", "Events that the time line keeps")
+	s.Int(&c.Caller.MaxTokens, "max-tokens", "tokens", "Largest answer that a caller may ask for")
+	s.Int(&c.Caller.MaxHeaderBytes, "max-header-bytes", "bytes", "Largest header of a caller's request")
+	s.Duration(&c.Dispatch.RecoveryTimeout, "recovery-timeout", "Time in which a started answer must be found again after a lost connection")
+	s.Int(&c.Endpoints.RemoteEndpoints, "remote-endpoints", "endpoints", "Endpoints of each service used in each other zone")
+	s.Duration(&c.Endpoints.ReportInterval, "report-interval", "Time between load reports of endpoints in the own zone")
+	s.Duration(&c.Link.SilenceTimeout, "silence-timeout", "Time without any message after which a connection is abandoned")
+	s.Duration(&c.Link.ProbeInterval, "probe-interval", "Time between probes of a connection")
+}
--- /dev/null
+++ b/lab/demo/tour.go
@@ -0,0 +1,130 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/lab/fleet"
+)
+
+// stop is one request of the tour.
+type stop struct {
+	title  string
+	method string
+	path   string
+	body   string
+	key    string
+	// status is the HTTP status that the tour expects.
+	status int
+}
+
+const chatBody = `{"model":"asistente-1","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"mark=%s a chest for Candelaria"}]}`
+
+// Tour sends a request of each kind and prints its route and outcome.
+func Tour(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
+	ticket, err := issueTicket(ctx, f.Entries[1])
+	if err != nil {
+		return err
+	}
+	reservation := `{"id":"chest-7","holder":"school of Arequipa"}`
+	stops := []stop{
+		{"chat completion, whole", http.MethodPost, "/v1/chat/completions", fmt.Sprintf(chatBody, false, "whole"), "", 200},
+		{"chat completion, streamed", http.MethodPost, "/v1/chat/completions", fmt.Sprintf(chatBody, true, "streamed"), "", 200},
+		{"list of models", http.MethodGet, "/v1/models", "", "", 200},
+		{"stock lookup", http.MethodGet, "/v1/services/mostrador/stock/devil-mask", "", "", 200},
+		{"reservation with a ticket", http.MethodPost, "/v1/services/mostrador/reservations", reservation, ticket, 201},
+		{"the same reservation again", http.MethodPost, "/v1/services/mostrador/reservations", reservation, ticket, 201},
+		{"unknown model", http.MethodPost, "/v1/chat/completions", `{"model":"none","messages":[{"role":"user","content":"x"}]}`, "", 404},
+	}
+	for i, s := range stops {
+		e := f.Entries[i%len(f.Entries)]
+		if err := visit(ctx, f, e, s, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func issueTicket(ctx context.Context, e *fleet.Entry) (string, error) {
+	response, body, err := send(ctx, e, stop{method: http.MethodPost, path: "/v1/services/mostrador/tickets"})
+	if err != nil {
+		return "", err
+	}
+	if response.StatusCode != http.StatusCreated {
+		return "", errors.Newf("ticket was refused: %s", body)
+	}
+	var t struct {
+		Ticket string `json:"ticket"`
+	}
+	err = json.Unmarshal(body, &t)
+	return t.Ticket, errors.Wrap(err, "decode ticket")
+}
+
+func send(ctx context.Context, e *fleet.Entry, s stop) (*http.Response, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, s.method, e.URL()+s.path, strings.NewReader(s.body))
+	if err != nil {
+		return nil, nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.DemoKey)
+	if s.key != "" {
+		request.Header.Set("Idempotency-Key", s.key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "request to entry %q", e.Host)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, errors.Wrap(err, "read answer")
+}
+
+func visit(ctx context.Context, f *fleet.Fleet, e *fleet.Entry, s stop, out io.Writer) error {
+	response, body, err := send(ctx, e, s)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != s.status {
+		return errors.Newf("%s: status %d instead of %d: %s", s.title, response.StatusCode, s.status, body)
+	}
+	result := response.Header.Get(outcome.Header)
+	if result == "" {
+		result = response.Trailer.Get(outcome.Header)
+	}
+	fmt.Fprintf(out, "%s\n  %s %s at %s: status %d, outcome %q\n", s.title, s.method, s.path, e.Host, response.StatusCode, result)
+	printRoute(f, e, response.Header.Get(problem.HeaderRequest), out)
+	fmt.Fprintf(out, "  answer: %s\n\n", shorten(string(body)))
+	return nil
+}
+
+// printRoute prints the events of a request at the entry and at the agents.
+func printRoute(f *fleet.Fleet, e *fleet.Entry, request string, out io.Writer) {
+	match := func(ev timeline.Event) bool { return string(ev.Request) == request }
+	events := e.Ring.Events(match)
+	for _, a := range f.Agents {
+		events = append(events, a.Ring.Events(match)...)
+	}
+	timeline.Sort(events)
+	for _, ev := range events {
+		fmt.Fprintf(out, "  route: %-20s %-20s %s\n", ev.Process, ev.Kind, ev.Endpoint)
+	}
+}
+
+// shownBytes is the length up to which an answer is printed.
+const shownBytes = 160
+
+func shorten(s string) string {
+	s = strings.TrimSpace(strings.ReplaceAll(s, "\n", " "))
+	if len(s) <= shownBytes {
+		return s
+	}
+	return s[:shownBytes] + "..."
+}
--- /dev/null
+++ b/lab/fleet/config.go
@@ -0,0 +1,79 @@
+// Package fleet runs a whole fleet of entries, agents and stand-ins inside one
+// process on loopback.
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/siskinford/siskinford/agent/gate"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/server"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/lab/engine"
+	"github.com/siskinford/siskinford/lab/plainservice"
+	"github.com/siskinford/siskinford/lab/platform"
+)
+
+// Service describes one service of the fleet.
+type Service struct {
+	config.Service
+	// Replicas is the number of endpoints, spread over the zones in turn.
+	Replicas int
+}
+
+// Team describes one team by its API key in clear.
+type Team struct {
+	config.Team
+	Key string
+}
+
+// Config describes a fleet.
+type Config struct {
+	Region   id.Region
+	Zones    []id.Zone
+	Entries  int
+	Services []Service
+	Teams    []Team
+	// Entry and Agent are the settings that all entries and agents share.
+	Entry  server.Config
+	Agent  gate.Config
+	Engine engine.Config
+	Plain  plainservice.Config
+	// Platform configures the platform stand-in.
+	Platform platform.Config
+}
+
+// DemoKey is the API key of the team in the demonstration fleet.
+const DemoKey = "demo-key-puno"
+
+// BaulAndino returns the fleet of Baúl Andino: 3 zones, 4 entry hosts, 16 model
+// replicas and 3 plain replicas.
+func BaulAndino() Config {
+	entry := server.DefaultConfig()
+	entry.CallerListen = "127.0.0.1:0"
+	entry.OperatorListen = "127.0.0.1:0"
+	entry.PeerListen = "127.0.0.1:0"
+	return Config{
+		Region:  "lima",
+		Zones:   []id.Zone{"lima-a", "lima-b", "lima-c"},
+		Entries: 4,
+		Services: []Service{
+			{Replicas: 16, Service: config.Service{
+				Name: "asistente", Type: config.ModelService, Model: "asistente-1", DeadlineMS: 5000, Idempotent: true,
+			}},
+			{Replicas: 3, Service: config.Service{
+				Name: "mostrador", Type: config.PlainService, DeadlineMS: 5000,
+			}},
+		},
+		Teams:  []Team{{Team: config.Team{Name: "puno"}, Key: DemoKey}},
+		Entry:  entry,
+		Agent:  gate.DefaultConfig(),
+		Engine: engine.Config{StepTime: 5 * time.Millisecond},
+	}
+}
+
+// endpointName returns the name of the i-th replica of a service.
+func endpointName(s id.Service, i int) id.Endpoint {
+	return id.Endpoint(fmt.Sprintf("%s-%02d", s, i))
+}
