--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -11,12 +11,12 @@
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/ledger"
 	"github.com/siskinford/siskinford/agent/plain"
-	"github.com/siskinford/siskinford/wire/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/keys"
 	"github.com/siskinford/siskinford/wire/link"
 	"github.com/siskinford/siskinford/wire/msg"
+	"github.com/siskinford/siskinford/wire/ticket"
 )
 
 // housekeepingInterval is the time between passes over queue and ledger.
--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -6,12 +6,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/agent/ledger"
-	"github.com/siskinford/siskinford/wire/ticket"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/outcome"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/link"
 	"github.com/siskinford/siskinford/wire/msg"
+	"github.com/siskinford/siskinford/wire/ticket"
 )
 
 // handler answers the orders of entries.
@@ -21,7 +21,13 @@
 func (h *handler) Incarnation() id.Incarnation { return h.incarnation }
 
 // Closed implements link.Handler.
-func (h *handler) Closed(s *link.Session) { h.reports.remove(s) }
+func (h *handler) Closed(s *link.Session) {
+	h.reports.remove(s)
+	h.ledger.Detach(func(other ledger.Sink) bool {
+		to, ok := other.(sink)
+		return ok && to.session == s
+	})
+}
 
 // Order implements link.Handler.
 func (h *handler) Order(s *link.Session, o *msg.Order) {
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -3,6 +3,7 @@
 package ledger
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -319,22 +320,18 @@
 	}
 }
 
-// Detach removes a sink from an attempt.
-func (l *Ledger) Detach(attempt id.Attempt, sink Sink) {
+// Detach removes the sinks for which gone returns true from all attempts.
+func (l *Ledger) Detach(gone func(Sink) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, ok := l.attempts[attempt]
-	if !ok {
-		return
-	}
-	for i, s := range r.sinks {
-		if s == sink {
-			r.sinks = append(r.sinks[:i], r.sinks[i+1:]...)
-			break
+	for _, r := range l.attempts {
+		if len(r.sinks) == 0 {
+			continue
+		}
+		r.sinks = slices.DeleteFunc(r.sinks, gone)
+		if len(r.sinks) == 0 {
+			r.orphanedAt = l.now()
 		}
-	}
-	if len(r.sinks) == 0 {
-		r.orphanedAt = l.now()
 	}
 }
 
--- /dev/null
+++ b/wire/link/link_test.go
@@ -0,0 +1,159 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// echo answers each ticket order with the team's name.
+type echo struct{}
+
+func (echo) Order(s *Session, o *msg.Order) {
+	if o.Ticket != nil {
+		s.Reply(&msg.Reply{ID: o.ID, Ticket: &msg.Ticket{Ticket: string(o.Ticket.Team)}})
+	}
+}
+
+func (echo) Closed(*Session) {}
+
+func (echo) Incarnation() id.Incarnation { return "inc" }
+
+// fixture is a server with a pool that dials it.
+type fixture struct {
+	server *Server
+	pool   *Pool
+}
+
+func newFixture(t *testing.T, dialerRole keys.Role) *fixture {
+	t.Helper()
+	authority, err := keys.NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	agent := ring(t, authority, keys.RoleAgent)
+	dialer := ring(t, authority, dialerRole)
+	server, err := Listen("127.0.0.1:0", agent.Server(keys.RoleEntry), DefaultConfig(), echo{})
+	assert.NilError(t, err)
+	pool := NewPool(DefaultConfig(), func() *tls.Config { return dialer.Client(keys.RoleAgent) })
+	f := &fixture{server: server, pool: pool}
+	t.Cleanup(func() {
+		pool.Close()
+		server.Close()
+	})
+	return f
+}
+
+func ring(t *testing.T, a *keys.Authority, role keys.Role) *keys.Ring {
+	t.Helper()
+	material, err := a.Issue(role, "host", time.Hour)
+	assert.NilError(t, err)
+	r, err := keys.New(material)
+	assert.NilError(t, err)
+	return r
+}
+
+func ticketOrder(team id.Team) *msg.Order {
+	return &msg.Order{Ticket: &msg.TicketOrder{Team: team}}
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestRepliesBelongToTheirOrder(t *testing.T) {
+	f := newFixture(t, keys.RoleEntry)
+	conn, err := f.pool.Conn(context.Background(), f.server.Address())
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	for _, team := range []id.Team{"a", "b", "c", "d"} {
+		for range 50 {
+			wg.Go(func() {
+				reply, err := conn.Call(context.Background(), ticketOrder(team))
+				assert.Check(t, err == nil, err)
+				if err == nil {
+					assert.Check(t, reply.Ticket.Ticket == string(team))
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+func TestPeerWithAnotherRoleIsRefused(t *testing.T) {
+	f := newFixture(t, keys.RoleAgent)
+	conn, err := f.pool.Conn(context.Background(), f.server.Address())
+	if err == nil {
+		_, err = conn.Call(context.Background(), ticketOrder("a"))
+	}
+	assert.Assert(t, err != nil, "a host with the role of an agent must not give orders to an agent")
+}
+
+func TestPoolKeepsOneConnectionPerAddress(t *testing.T) {
+	f := newFixture(t, keys.RoleEntry)
+	first, err := f.pool.Conn(context.Background(), f.server.Address())
+	assert.NilError(t, err)
+	second, err := f.pool.Conn(context.Background(), f.server.Address())
+	assert.NilError(t, err)
+	assert.Assert(t, first == second)
+	first.Close()
+	third, err := f.pool.Conn(context.Background(), f.server.Address())
+	for err == nil && third == first {
+		third, err = f.pool.Conn(context.Background(), f.server.Address())
+	}
+	assert.NilError(t, err)
+}
+
+// lossRecorder keeps what a Waiter was told.
+type lossRecorder struct {
+	lost chan bool
+}
+
+func (l *lossRecorder) Reply(*msg.Reply) {}
+
+func (l *lossRecorder) Lost(sent bool, _ error) { l.lost <- sent }
+
+func TestLostConnectionIsReportedOnce(t *testing.T) {
+	f := newFixture(t, keys.RoleEntry)
+	conn, err := f.pool.Conn(context.Background(), f.server.Address())
+	assert.NilError(t, err)
+	w := &lossRecorder{lost: make(chan bool, 2)}
+	_, err = conn.Send(&msg.Order{Inquire: &msg.Inquire{}}, w)
+	assert.NilError(t, err)
+	_, err = conn.Call(context.Background(), ticketOrder("a")) // the first order has left
+	assert.NilError(t, err)
+	conn.Close()
+	assert.Assert(t, <-w.lost, "a byte of the order has left")
+	assert.Equal(t, len(w.lost), 0)
+	_, err = conn.Send(ticketOrder("a"), w)
+	assert.ErrorIs(t, err, ErrReleased)
+}
+
+func TestOutboxKnowsWhatLeft(t *testing.T) {
+	o := newOutbox(DefaultConfig())
+	first, err := o.put(ticketOrder("a"))
+	assert.NilError(t, err)
+	_, err = o.take()
+	assert.NilError(t, err)
+	second, err := o.put(ticketOrder("b"))
+	assert.NilError(t, err)
+	assert.Assert(t, o.sent(first))
+	assert.Assert(t, !o.sent(second))
+}
+
+func TestOutboxIsBounded(t *testing.T) {
+	c := DefaultConfig()
+	c.MaxQueuedBytes = 1
+	o := newOutbox(c)
+	_, err := o.put(ticketOrder("a"))
+	assert.NilError(t, err)
+	_, err = o.put(ticketOrder("b"))
+	var full *QueueFullError
+	assert.Assert(t, errors.As(err, &full))
+}
