Real-process cluster, whole-path test and path measurement

Change: lab/procs runs the programs behind fault proxies, itest checks whole answers streamed and whole from two entries, bad input and settings errors reported together; siskinford-lab path measures latency and throughput.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -216,6 +216,10 @@
 	e.Endpoint = a.config.Endpoint
 	e.Incarnation = a.incarnation
 	a.deps.Ring.Record(e)
-	a.deps.Log.Info().Str("event", string(e.Kind)).Str("request", string(e.Request)).
+	level := zerolog.InfoLevel
+	if e.Attempt != "" {
+		level = zerolog.DebugLevel
+	}
+	a.deps.Log.WithLevel(level).Str("event", string(e.Kind)).Str("request", string(e.Request)).
 		Str("attempt", string(e.Attempt)).Str("endpoint", string(e.Endpoint)).Msg(e.Detail)
 }
--- a/cmd/siskinford-agent/main.go
+++ b/cmd/siskinford-agent/main.go
@@ -42,14 +42,9 @@
 	set.Duration(&o.shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
 	set.Int(&o.events, "events", "events", "Events that the time line keeps")
 	set.Bool(&o.debug, "debug", "Log debug messages")
-	if code, ok := process.ParseSettings(set, args, stdout, stderr); !ok {
+	if code, ok := process.ParseSettings(set, args, o.validate, stdout, stderr); !ok {
 		return code
 	}
-	findings := o.validate()
-	if err := findings.Err(); err != nil {
-		process.PrintFindings(stderr, err)
-		return process.ExitUsage
-	}
 	log := process.NewLog(stderr, program, string(o.gate.Host), o.debug)
 	agent, err := o.build(gate.Deps{
 		Ring: timeline.NewRing(string(o.gate.Host), o.events, timeline.NewClock(time.Now)),
@@ -66,10 +61,10 @@
 	l := o.gate.Validate()
 	l.Merge("", o.keys.Validate())
 	if (o.engine == "") == (o.plain == "") {
-		l.Addf("--engine-url, --plain-url", "exactly one of them must be set")
+		l.Addf("engine-url", "exactly one of --engine-url and --plain-url must be set")
 	}
 	if o.events <= 0 {
-		l.Addf("--events", "%d is not positive", o.events)
+		l.Addf("events", "%d is not positive", o.events)
 	}
 	return l
 }
--- a/cmd/siskinford-entry/main.go
+++ b/cmd/siskinford-entry/main.go
@@ -36,14 +36,9 @@
 	set.String(&o.platform, "platform-url", "Base URL of the platform's object API", settings.Required())
 	set.Duration(&o.shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
 	set.Bool(&o.debug, "debug", "Log debug messages")
-	if code, ok := process.ParseSettings(set, args, stdout, stderr); !ok {
+	if code, ok := process.ParseSettings(set, args, o.validate, stdout, stderr); !ok {
 		return code
 	}
-	findings := o.validate()
-	if err := findings.Err(); err != nil {
-		process.PrintFindings(stderr, err)
-		return process.ExitUsage
-	}
 	log := process.NewLog(stderr, program, string(o.server.Host), o.debug)
 	s, err := o.build(server.Deps{
 		Ring: timeline.NewRing(string(o.server.Host), o.server.Events, timeline.NewClock(time.Now)),
--- a/cmd/siskinford-lab/main.go
+++ b/cmd/siskinford-lab/main.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/siskinford/siskinford/lab/demo"
+	"github.com/siskinford/siskinford/lab/measure"
 	"github.com/siskinford/siskinford/lab/serve"
 )
 
@@ -17,9 +18,11 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&demo.Command{}, "fleet")
+	subcommands.Register(&measure.Path{}, "measurements")
 	subcommands.Register(&serve.Platform{}, "stand-ins")
 	subcommands.Register(&serve.Engine{}, "stand-ins")
 	subcommands.Register(&serve.Plain{}, "stand-ins")
+	subcommands.Register(&serve.ReverseProxy{}, "stand-ins")
 	subcommands.Register(&serve.Certs{}, "stand-ins")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -9,11 +9,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/settings"
 )
 
@@ -40,24 +42,35 @@
 	Reload() error
 }
 
-// ParseSettings parses settings and prints help or findings. Ok is false if the
-// program must exit with the returned code.
-func ParseSettings(s *settings.Set, args []string, stdout, stderr io.Writer) (code int, ok bool) {
-	err := s.Parse(args)
-	switch {
-	case err == nil:
-		return ExitOK, true
-	case errors.Is(err, flag.ErrHelp):
+// ParseSettings parses and validates settings and prints help or all findings.
+// Ok is false if the program must exit with the returned code.
+func ParseSettings(s *settings.Set, args []string, validate func() finding.List, stdout, stderr io.Writer) (code int, ok bool) {
+	findings, err := s.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
 		s.WriteHelp(stdout)
 		return ExitOK, false
 	}
-	PrintFindings(stderr, err)
+	findings = append(findings, unreported(findings, validate())...)
+	if len(findings) == 0 {
+		return ExitOK, true
+	}
+	fmt.Fprintf(stderr, "invalid settings:\n%v\n", findings)
 	return ExitUsage, false
 }
 
-// PrintFindings prints an error of invalid settings, one finding a line.
-func PrintFindings(w io.Writer, err error) {
-	fmt.Fprintf(w, "invalid settings:\n%v\n", err)
+// unreported returns the later findings whose setting has none among the earlier.
+func unreported(earlier, later finding.List) finding.List {
+	known := make(map[string]bool, len(earlier))
+	for _, f := range earlier {
+		known[f.Place] = true
+	}
+	var out finding.List
+	for _, f := range later {
+		if f.Place = "--" + strings.TrimPrefix(f.Place, "--"); !known[f.Place] {
+			out = append(out, f)
+		}
+	}
+	return out
 }
 
 // NewLog returns a logger that writes JSON lines to w.
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -159,15 +159,15 @@
 }
 
 // Parse reads the arguments and the environment. Flags take precedence. It
-// returns every unknown flag, malformed value and missing setting, and
-// flag.ErrHelp if help was asked for.
-func (s *Set) Parse(args []string) error {
+// returns every unknown flag, malformed value and missing setting. The error is
+// flag.ErrHelp if help was asked for, and nil otherwise.
+func (s *Set) Parse(args []string) (finding.List, error) {
 	var findings finding.List
 	known := s.knownArgs(args, &findings)
 	err := ff.Parse(s.flags, known, ff.WithEnvVarPrefix(EnvPrefix))
 	if err != nil {
 		if err == flag.ErrHelp {
-			return err
+			return nil, err
 		}
 		findings.Addf("arguments", "%v", err)
 	}
@@ -177,7 +177,7 @@
 	for _, setting := range s.settings {
 		s.check(setting, &findings)
 	}
-	return findings.Err()
+	return findings, nil
 }
 
 // knownArgs removes unknown flags from args and reports them.
--- /dev/null
+++ b/lab/procs/build.go
@@ -0,0 +1,35 @@
+package procs
+
+import (
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// modulePath is the path of the module with the programs.
+const modulePath = "github.com/siskinford/siskinford/cmd/"
+
+// Binaries are the paths of the built programs.
+type Binaries struct {
+	Entry, Agent, Operator, Lab string
+}
+
+// Build builds the programs into dir. It must be called below the workspace.
+func Build(dir string, race bool) (Binaries, error) {
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if race {
+		args = append(args, "-race")
+	}
+	args = append(args, modulePath+"...")
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return Binaries{}, errors.Wrapf(err, "build programs: %s", out)
+	}
+	return Binaries{
+		Entry:    filepath.Join(dir, "siskinford-entry"),
+		Agent:    filepath.Join(dir, "siskinford-agent"),
+		Operator: filepath.Join(dir, "siskinford"),
+		Lab:      filepath.Join(dir, "siskinford-lab"),
+	}, nil
+}
--- /dev/null
+++ b/lab/procs/cluster.go
@@ -0,0 +1,337 @@
+package procs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/lab/faultproxy"
+	"github.com/siskinford/siskinford/wire/keys"
+)
+
+// Names of the services and the model of a Cluster, and the API key of its team.
+const (
+	ModelService = "asistente"
+	Model        = "asistente-1"
+	PlainService = "mostrador"
+	Team         = "puno"
+	TeamKey      = "cluster-key-puno"
+)
+
+// Options describe a Cluster.
+type Options struct {
+	Binaries Binaries
+	// Zones are used in turn for entries and agents. Default: lima-a.
+	Zones   []id.Zone
+	Entries int
+	// Models and Plains are the numbers of endpoints of each service.
+	Models, Plains int
+	// NoProxy lets entries reach agents directly.
+	NoProxy bool
+	// Services overrides the settings of the two services. Default: see defaultServices.
+	Services []config.Service
+	// EngineArgs, PlainArgs, AgentArgs and EntryArgs are added to the command lines.
+	EngineArgs, PlainArgs, AgentArgs, EntryArgs []string
+}
+
+// Endpoint is an agent with its back end. Entries reach the agent through Proxy.
+type Endpoint struct {
+	Config     config.Endpoint
+	Agent      *Process
+	Backend    *Process
+	BackendURL string
+	Proxy      *faultproxy.UDP
+
+	args, env []string
+}
+
+// Entry is an entry process. It reaches the platform through Platform.
+type Entry struct {
+	Host      id.Host
+	Zone      id.Zone
+	Process   *Process
+	Platform  *faultproxy.TCP
+	URL       string
+	Operators string
+
+	args, env []string
+}
+
+// Cluster is a fleet of real processes.
+type Cluster struct {
+	options     Options
+	authority   *keys.Authority
+	Platform    *Process
+	PlatformURL string
+	Store       *platform.Client
+	Endpoints   []*Endpoint
+	Entries     []*Entry
+}
+
+// certValidity is how long the certificates of a cluster are valid.
+const certValidity = 24 * time.Hour
+
+// NewCluster starts all processes and waits until every entry is ready.
+func NewCluster(ctx context.Context, o Options) (*Cluster, error) {
+	if len(o.Zones) == 0 {
+		o.Zones = []id.Zone{"lima-a"}
+	}
+	if len(o.Services) == 0 {
+		o.Services = defaultServices()
+	}
+	c := &Cluster{options: o}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func defaultServices() []config.Service {
+	return []config.Service{
+		{Name: ModelService, Type: config.ModelService, Model: Model, DeadlineMS: 10_000},
+		{Name: PlainService, Type: config.PlainService, DeadlineMS: 10_000},
+	}
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	if c.authority, err = keys.NewAuthority(certValidity); err != nil {
+		return err
+	}
+	if c.Platform, c.PlatformURL, err = c.startLab(ctx, "platform", "platform"); err != nil {
+		return err
+	}
+	if c.Store, err = platform.NewClient(platform.ClientConfig{BaseURL: c.PlatformURL, Caller: "lab"}); err != nil {
+		return err
+	}
+	for i := range c.options.Models {
+		if err := c.addEndpoint(ctx, ModelService, i); err != nil {
+			return err
+		}
+	}
+	for i := range c.options.Plains {
+		if err := c.addEndpoint(ctx, PlainService, i); err != nil {
+			return err
+		}
+	}
+	if err := c.configure(ctx); err != nil {
+		return err
+	}
+	for i := range c.options.Entries {
+		if err := c.addEntry(ctx, i); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := AwaitReady(ctx, e.Operators); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startLab starts a stand-in and returns its URL.
+func (c *Cluster) startLab(ctx context.Context, name string, args ...string) (*Process, string, error) {
+	p, err := Start(name, c.options.Binaries.Lab, args, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	url, err := p.AwaitPrefix(ctx, "listening on ")
+	if err != nil {
+		p.Kill()
+		return nil, "", err
+	}
+	return p, url, nil
+}
+
+func (c *Cluster) addEndpoint(ctx context.Context, service id.Service, i int) error {
+	name := id.Endpoint(fmt.Sprintf("%s-%d", service, i))
+	e := &Endpoint{Config: config.Endpoint{
+		Name: name, Service: service, Host: id.Host("host-" + string(name)), Zone: c.options.Zones[i%len(c.options.Zones)],
+	}}
+	command, extra, flag := "engine", c.options.EngineArgs, "--engine-url="
+	if service == PlainService {
+		command, extra, flag = "plain", c.options.PlainArgs, "--plain-url="
+	}
+	var err error
+	e.Backend, e.BackendURL, err = c.startLab(ctx, "backend-"+string(name), append([]string{command}, extra...)...)
+	if err != nil {
+		return err
+	}
+	c.Endpoints = append(c.Endpoints, e)
+	if e.env, err = c.keyEnv(keys.RoleAgent, e.Config.Host); err != nil {
+		return err
+	}
+	e.args = append([]string{"--endpoint=" + string(name), "--host=" + string(e.Config.Host), flag + e.BackendURL}, c.options.AgentArgs...)
+	address, err := c.startAgent(ctx, e)
+	if err != nil {
+		return err
+	}
+	e.args = append(e.args, "--listen="+address)
+	if c.options.NoProxy {
+		e.Config.Address = address
+		return nil
+	}
+	if e.Proxy, err = faultproxy.NewUDP(address, uint64(i)+1); err != nil {
+		return err
+	}
+	e.Config.Address = e.Proxy.Addr()
+	return nil
+}
+
+func (c *Cluster) startAgent(ctx context.Context, e *Endpoint) (string, error) {
+	p, err := Start("agent-"+string(e.Config.Name), c.options.Binaries.Agent, e.args, e.env)
+	if err != nil {
+		return "", err
+	}
+	e.Agent = p
+	event, err := p.AwaitEvent(ctx, "agent.started")
+	return event.Text("message"), err
+}
+
+// RestartAgent starts the agent of an endpoint again at the same address. The
+// former process must have ended.
+func (c *Cluster) RestartAgent(ctx context.Context, e *Endpoint) error {
+	_, err := c.startAgent(ctx, e)
+	return err
+}
+
+func (c *Cluster) keyEnv(role keys.Role, host id.Host) ([]string, error) {
+	material, err := c.authority.Issue(role, host, certValidity)
+	if err != nil {
+		return nil, err
+	}
+	return []string{
+		"SISKINFORD_TLS_CERTIFICATE=" + material.Certificate,
+		"SISKINFORD_TLS_KEY=" + material.Key,
+		"SISKINFORD_TLS_AUTHORITY=" + material.Authority,
+	}, nil
+}
+
+func (c *Cluster) configure(ctx context.Context) error {
+	endpoints := config.EndpointSet{}
+	for _, e := range c.Endpoints {
+		endpoints.Endpoints = append(endpoints.Endpoints, e.Config)
+	}
+	teams := config.TeamSet{Teams: []config.Team{{Name: Team, KeyHashes: []string{config.HashKey(TeamKey)}}}}
+	if err := c.Accept(ctx, config.KindServices, config.ServiceSet{Services: c.options.Services}, 0); err != nil {
+		return err
+	}
+	if err := c.Accept(ctx, config.KindTeams, teams, 0); err != nil {
+		return err
+	}
+	return c.Accept(ctx, config.KindEndpoints, endpoints, 0)
+}
+
+// Accept writes a configuration against the version that was seen.
+func (c *Cluster) Accept(ctx context.Context, kind config.Kind, value any, seen uint64) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode configuration %q", kind)
+	}
+	_, err = config.Accept(ctx, c.Store, config.Change{
+		Kind: kind, Value: data, SeenVersion: seen, Writer: "lab", Now: time.Now(),
+	})
+	return errors.Wrapf(err, "write configuration %q", kind)
+}
+
+func (c *Cluster) addEntry(ctx context.Context, i int) error {
+	e := &Entry{Host: id.Host(fmt.Sprintf("entry-%d", i)), Zone: c.options.Zones[i%len(c.options.Zones)]}
+	var err error
+	if e.Platform, err = faultproxy.NewTCP(c.PlatformURL[len("http://"):], uint64(i)+1); err != nil {
+		return err
+	}
+	c.Entries = append(c.Entries, e)
+	if e.env, err = c.keyEnv(keys.RoleEntry, e.Host); err != nil {
+		return err
+	}
+	e.args = append([]string{
+		"--host=" + string(e.Host), "--zone=" + string(e.Zone), "--platform-url=http://" + e.Platform.Addr(),
+		"--peer-listen=127.0.0.1:0",
+	}, c.options.EntryArgs...)
+	if err := c.startEntry(ctx, e, "127.0.0.1:0", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (c *Cluster) startEntry(ctx context.Context, e *Entry, callers, operators string) error {
+	args := append([]string{"--caller-listen=" + callers, "--operator-listen=" + operators}, e.args...)
+	p, err := Start(string(e.Host), c.options.Binaries.Entry, args, e.env)
+	if err != nil {
+		return err
+	}
+	e.Process = p
+	event, err := p.AwaitEvent(ctx, "entry.started")
+	if err != nil {
+		return err
+	}
+	e.URL = "http://" + event.Text("callers")
+	e.Operators = "http://" + event.Text("operators")
+	return nil
+}
+
+// RestartEntry starts an entry again at the same addresses. The former process
+// must have ended.
+func (c *Cluster) RestartEntry(ctx context.Context, e *Entry) error {
+	return c.startEntry(ctx, e, e.URL[len("http://"):], e.Operators[len("http://"):])
+}
+
+// readyInterval is the time between questions for readiness.
+const readyInterval = 20 * time.Millisecond
+
+// AwaitReady waits until an entry reports that it is ready.
+func AwaitReady(ctx context.Context, operators string) error {
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, operators+"/readyz", nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "entry at %s is not ready", operators)
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+// Close kills all processes of the cluster.
+func (c *Cluster) Close() {
+	for _, e := range c.Entries {
+		kill(e.Process)
+		e.Platform.Close()
+	}
+	for _, e := range c.Endpoints {
+		kill(e.Agent)
+		kill(e.Backend)
+		if e.Proxy != nil {
+			e.Proxy.Close()
+		}
+	}
+	if c.Store != nil {
+		c.Store.Close()
+	}
+	kill(c.Platform)
+}
+
+func kill(p *Process) {
+	if p != nil {
+		p.Thaw()
+		p.Kill()
+	}
+}
--- /dev/null
+++ b/lab/procs/process.go
@@ -0,0 +1,214 @@
+// Package procs runs the programs of the repository as real processes, for
+// integration tests and measurements.
+package procs
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLogLines bounds the output that is kept of a process.
+const maxLogLines = 20_000
+
+// Process is a running program.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	// mu is a leaf lock.
+	mu      sync.Mutex
+	lines   []string
+	changed chan struct{}
+}
+
+// Start runs a program. Env is added to the environment.
+func Start(name, path string, args, env []string) (*Process, error) {
+	p := &Process{name: name, cmd: exec.Command(path, args...), done: make(chan struct{}), changed: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	var readers sync.WaitGroup
+	readers.Go(func() { p.collect(stdout) })
+	readers.Go(func() { p.collect(stderr) })
+	go func() {
+		readers.Wait()
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Name returns the name given to Start.
+func (p *Process) Name() string { return p.name }
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+func (p *Process) collect(r io.Reader) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		p.mu.Lock()
+		if len(p.lines) < maxLogLines {
+			p.lines = append(p.lines, scanner.Text())
+		}
+		close(p.changed)
+		p.changed = make(chan struct{})
+		p.mu.Unlock()
+	}
+}
+
+// Output returns what the process has printed.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.lines, "\n")
+}
+
+// Event is a line of a JSON log.
+type Event map[string]any
+
+// Text returns a field as text.
+func (e Event) Text(field string) string {
+	text, _ := e[field].(string)
+	return text
+}
+
+// AwaitEvent waits for a log line with the given event name.
+func (p *Process) AwaitEvent(ctx context.Context, name string) (Event, error) {
+	var found Event
+	err := p.awaitLine(ctx, func(line string) bool {
+		var e Event
+		if json.Unmarshal([]byte(line), &e) != nil || e.Text("event") != name {
+			return false
+		}
+		found = e
+		return true
+	})
+	return found, errors.Wrapf(err, "event %q", name)
+}
+
+// AwaitPrefix waits for a line with a prefix and returns the rest of the line.
+func (p *Process) AwaitPrefix(ctx context.Context, prefix string) (string, error) {
+	var rest string
+	err := p.awaitLine(ctx, func(line string) bool {
+		var ok bool
+		rest, ok = strings.CutPrefix(line, prefix)
+		return ok
+	})
+	return rest, errors.Wrapf(err, "line %q", prefix)
+}
+
+func (p *Process) awaitLine(ctx context.Context, match func(string) bool) error {
+	next := 0
+	for {
+		p.mu.Lock()
+		lines, changed := p.lines[next:], p.changed
+		p.mu.Unlock()
+		for _, line := range lines {
+			if match(line) {
+				return nil
+			}
+		}
+		next += len(lines)
+		select {
+		case <-changed:
+		case <-p.done:
+			return errors.Newf("%s has ended: %s", p.name, p.Output())
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s printed: %s", p.name, p.Output())
+		}
+	}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Stop asks the process to end, waits and returns its exit code.
+func (p *Process) Stop(ctx context.Context) (int, error) {
+	p.Signal(syscall.SIGTERM)
+	return p.Wait(ctx)
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, errors.Wrapf(ctx.Err(), "%s has not ended", p.name)
+	}
+}
+
+// clockTick is the unit of processor time in the process table.
+const clockTick = 10 * time.Millisecond
+
+// CPU returns the processor time that the process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0, errors.Wrapf(err, "processor time of %s", p.name)
+	}
+	_, fields, _ := strings.Cut(string(data), ") ")
+	var user, system int64
+	columns := strings.Fields(fields)
+	if len(columns) < 13 {
+		return 0, errors.Newf("process table entry of %s is malformed", p.name)
+	}
+	if _, err := fmt.Sscan(columns[11], &user); err != nil {
+		return 0, errors.Wrapf(err, "processor time of %s", p.name)
+	}
+	if _, err := fmt.Sscan(columns[12], &system); err != nil {
+		return 0, errors.Wrapf(err, "processor time of %s", p.name)
+	}
+	return time.Duration(user+system) * clockTick, nil
+}
+
+// Memory returns the resident memory of the process in bytes.
+func (p *Process) Memory() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
+	if err != nil {
+		return 0, errors.Wrapf(err, "memory of %s", p.name)
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0, errors.Wrapf(err, "memory of %s", p.name)
+	}
+	return resident * int64(os.Getpagesize()), nil
+}
