--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -19,6 +19,8 @@
 	Host id.Host
 	// Listen is the UDP address for entries. Default: 127.0.0.1:0.
 	Listen string
+	// OperatorListen is the TCP address for operators. Default: 127.0.0.1:0.
+	OperatorListen string
 	// Slots is the number of attempts that run at the same time. Default: 16.
 	Slots int
 	// MaxQueue bounds the attempts that wait for a slot. Default: 1,024.
@@ -40,6 +42,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Listen:         "127.0.0.1:0",
+		OperatorListen: "127.0.0.1:0",
 		Slots:          16,
 		MaxQueue:       1024,
 		TicketLifetime: 15 * time.Minute,
--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -47,6 +47,7 @@
 	ledger      *ledger.Ledger
 	tickets     *ticket.Issuer
 	server      *link.Server
+	operator    operatorServer
 	now         func() time.Time
 
 	ctx     context.Context // ends when running attempts are cut off
@@ -112,9 +113,14 @@
 		return err
 	}
 	a.server = server
+	if err := a.startOperator(); err != nil {
+		server.Close()
+		return err
+	}
 	a.wg.Go(a.housekeeping)
 	a.wg.Go(func() { a.reports.poll(a.ctx) })
 	a.record(timeline.Event{Kind: "agent.started", Detail: server.Address()})
+	a.deps.Log.Info().Str("event", "agent.operators").Msg(a.OperatorAddress())
 	return nil
 }
 
@@ -140,6 +146,7 @@
 	_ = a.awaitCancelled()
 	a.record(timeline.Event{Kind: "agent.stopped"})
 	a.server.Close()
+	_ = a.operator.server.Close()
 	a.wg.Wait()
 	return err
 }
--- a/agent/gate/settings.go
+++ b/agent/gate/settings.go
@@ -7,6 +7,7 @@
 	settings.Text(s, &c.Endpoint, "endpoint", "Name of the endpoint as configured by the operators", settings.Required())
 	settings.Text(s, &c.Host, "host", "Name of this machine", settings.Required())
 	s.Address(&c.Listen, "listen", "UDP address for entries")
+	s.Address(&c.OperatorListen, "operator-listen", "TCP address for operators")
 	s.Int(&c.Slots, "slots", "attempts", "Attempts that run at the same time")
 	s.Int(&c.MaxQueue, "max-queue", "attempts", "Attempts that may wait for a slot")
 	s.Duration(&c.TicketLifetime, "ticket-lifetime", "Time for which a ticket may be used")
--- /dev/null
+++ b/core/ops/ops.go
@@ -0,0 +1,32 @@
+// Package ops serves the operators' address of a process: health, readiness,
+// metrics and profiles.
+package ops
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+)
+
+// Routes adds the common routes to r. Ready returns an error text while the
+// process does not accept work, and the empty text otherwise.
+func Routes(r chi.Router, set *metrics.Set, ready func() string) {
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := ready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	r.Get("/debug/pprof/", pprof.Index)
+	r.Get("/debug/pprof/profile", pprof.Profile)
+	r.Get("/debug/pprof/{profile}", pprof.Index)
+}
--- a/lab/measure/path.go
+++ b/lab/measure/path.go
@@ -31,6 +31,7 @@
 	tokens      int
 	stepTime    time.Duration
 	duration    time.Duration
+	profiles    string
 }
 
 // Name implements subcommands.Command.
@@ -52,6 +53,7 @@
 	f.IntVar(&c.concurrency, "concurrency", 64, "streams at the same time in the throughput measurement")
 	f.IntVar(&c.tokens, "tokens", 200, "tokens of each streamed answer")
 	f.DurationVar(&c.stepTime, "step-time", 10*time.Millisecond, "engine step time in the throughput measurement")
+	f.StringVar(&c.profiles, "profiles", "", "directory for processor profiles of entry and agent; empty takes none")
 	f.DurationVar(&c.duration, "duration", 8*time.Second, "time of each throughput measurement")
 }
 
@@ -265,9 +267,12 @@
 	if err != nil {
 		return err
 	}
+	var profiling sync.WaitGroup
+	c.profile(ctx, &profiling, w.cluster)
 	if r.ProductRate, err = c.load(ctx, &w.product, entry, agent); err != nil {
 		return err
 	}
+	profiling.Wait()
 	after, err := entry.CPU()
 	if err != nil {
 		return err
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -48,6 +48,8 @@
 	Backend    *Process
 	BackendURL string
 	Proxy      *faultproxy.UDP
+	// Operators is the base URL of the agent's operator address.
+	Operators string
 
 	args, env []string
 }
@@ -194,6 +196,11 @@
 	}
 	e.Agent = p
 	event, err := p.AwaitEvent(ctx, "agent.started")
+	if err != nil {
+		return "", err
+	}
+	operators, err := p.AwaitEvent(ctx, "agent.operators")
+	e.Operators = "http://" + operators.Text("message")
 	return event.Text("message"), err
 }
 
