At-most-once claims of idempotency keys by conditional updates

Cause: a non-idempotent action with a caller-made key must be claimed once for the fleet before it is dispatched, also when answers are lost, writes arrive late and claimants pause.

A shard's head object names the active segment and is never deleted. Creating the next segment together with its first claims was ruled out: a claimant paused past the retention could create a deleted segment anew and claim in it.

--- /dev/null
+++ b/fleet/claim/view.go
@@ -0,0 +1,256 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/siskinford/siskinford/fleet/platform"
+)
+
+// headName is the name of a shard's head object.
+const headName = "head"
+
+// firstSegment is the number of a shard's first segment.
+const firstSegment = 1
+
+func segmentName(number uint64) string { return fmt.Sprintf("%012d", number) }
+
+// view is what a process knows of a shard: the head, the active segment at one
+// version and all sealed segments from the floor on.
+type view struct {
+	head        head
+	headVersion uint64
+	active      *segment
+	version     uint64
+	sealed      map[uint64]*segment
+	// stale asks for a new read before the view is used.
+	stale bool
+	// fresh is true if the active segment was read in the present batch.
+	fresh bool
+}
+
+func (v *view) position() position { return position{number: v.head.Active, version: v.version} }
+
+func (v *view) find(h Hash) (Record, bool) {
+	if r, ok := v.active.find(h); ok {
+		return r, true
+	}
+	for _, s := range v.sealed {
+		if r, ok := s.find(h); ok {
+			return r, true
+		}
+	}
+	return Record{}, false
+}
+
+// refresh reads the shard if the view is absent or stale.
+func (s *shard) refresh(ctx context.Context) error {
+	switch {
+	case s.view == nil:
+		return s.load(ctx)
+	case s.view.stale:
+		return s.reload(ctx)
+	default:
+		return nil
+	}
+}
+
+// load reads the whole shard, and creates it if it does not exist.
+func (s *shard) load(ctx context.Context) error {
+	objects, err := s.list(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := objects[headName]; !ok {
+		if err := s.create(ctx); err != nil {
+			return err
+		}
+		if objects, err = s.list(ctx); err != nil {
+			return err
+		}
+	}
+	v, err := s.assemble(&view{}, func(name string) (platform.Object, error) {
+		o, ok := objects[name]
+		if !ok {
+			return platform.Object{}, &platform.NotFoundError{Kind: s.kind, Name: name}
+		}
+		return o, nil
+	})
+	if err != nil {
+		return err
+	}
+	s.view = v
+	return nil
+}
+
+func (s *shard) list(ctx context.Context) (map[string]platform.Object, error) {
+	objects, _, err := s.claimer.cfg.Store.List(ctx, s.kind)
+	if err != nil {
+		return nil, err
+	}
+	byName := make(map[string]platform.Object, len(objects))
+	for _, o := range objects {
+		byName[o.Name] = o
+	}
+	return byName, nil
+}
+
+// create writes the first segment and then the head. Another process may do so too.
+func (s *shard) create(ctx context.Context) error {
+	if err := s.createSegment(ctx, firstSegment); err != nil {
+		return err
+	}
+	_, err := s.putHead(ctx, head{Active: firstSegment, Floor: firstSegment}, 0)
+	return ignoreConflict(err)
+}
+
+func ignoreConflict(err error) error {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+func (s *shard) createSegment(ctx context.Context, number uint64) error {
+	value, err := newSegment().encode()
+	if err != nil {
+		return err
+	}
+	_, err = s.claimer.cfg.Store.Put(ctx, platform.Object{Kind: s.kind, Name: segmentName(number), Value: value})
+	return ignoreConflict(err)
+}
+
+func (s *shard) putHead(ctx context.Context, h head, version uint64) (platform.Object, error) {
+	value, err := cbor.Marshal(h)
+	if err != nil {
+		return platform.Object{}, errors.Wrap(err, "claim head cannot be encoded")
+	}
+	return s.claimer.cfg.Store.Put(ctx, platform.Object{Kind: s.kind, Name: headName, Version: version, Value: value})
+}
+
+// reload reads the head, the active segment and the sealed segments that the view lacks.
+func (s *shard) reload(ctx context.Context) error {
+	v, err := s.assemble(s.view, func(name string) (platform.Object, error) {
+		return s.claimer.cfg.Store.Get(ctx, s.kind, name)
+	})
+	if err != nil {
+		return err
+	}
+	s.view = v
+	return nil
+}
+
+// assemble builds a view from objects, with what old has already. An answer
+// older than old is refused, since the platform may show older versions.
+func (s *shard) assemble(old *view, get func(name string) (platform.Object, error)) (*view, error) {
+	o, err := get(headName)
+	if err != nil {
+		return nil, err
+	}
+	if o.Version < old.headVersion {
+		return nil, errors.Newf("the platform shows version %d of the claim head after %d", o.Version, old.headVersion)
+	}
+	v := &view{headVersion: o.Version, sealed: make(map[uint64]*segment), fresh: true}
+	if v.head, err = decodeHead(o.Value); err != nil {
+		return nil, err
+	}
+	for number := v.head.Floor; number < v.head.Active; number++ {
+		if v.sealed[number], err = old.sealedSegment(number, get); err != nil {
+			return nil, err
+		}
+	}
+	if o, err = get(segmentName(v.head.Active)); err != nil {
+		return nil, err
+	}
+	if (position{v.head.Active, o.Version}).before(old.position()) {
+		return nil, errors.Newf("the platform shows version %d of claim segment %d after %d", o.Version, v.head.Active, old.version)
+	}
+	v.version = o.Version
+	v.active, err = decodeSegment(o.Value)
+	return v, err
+}
+
+func (p position) before(q position) bool { return q.after(p) }
+
+// sealedSegment returns a segment that must be sealed, from the view or the platform.
+func (v *view) sealedSegment(number uint64, get func(name string) (platform.Object, error)) (*segment, error) {
+	if s, ok := v.sealed[number]; ok {
+		return s, nil
+	}
+	if number == v.head.Active && v.active != nil && v.active.sealed {
+		return v.active, nil
+	}
+	o, err := get(segmentName(number))
+	if err != nil {
+		return nil, err
+	}
+	s, err := decodeSegment(o.Value)
+	if err != nil {
+		return nil, err
+	}
+	if !s.sealed {
+		return nil, errors.Newf("the platform shows claim segment %s before it was sealed", strconv.FormatUint(number, 10))
+	}
+	return s, nil
+}
+
+// write replaces the active segment by a conditional update. After a conflict
+// the view holds the segment that won.
+func (s *shard) write(ctx context.Context, next *segment) error {
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	v := s.view
+	written, err := s.claimer.cfg.Store.Put(ctx, platform.Object{
+		Kind: s.kind, Name: segmentName(v.head.Active), Version: v.version, Value: value,
+	})
+	if err == nil {
+		v.active, v.version, v.fresh = next, written.Version, true
+		return nil
+	}
+	v.stale = true
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		v.takeWinner(conflict.Current)
+	}
+	return err
+}
+
+// takeWinner replaces the active segment by the one that won a conditional update.
+func (v *view) takeWinner(o platform.Object) {
+	if o.Version <= v.version {
+		return
+	}
+	winner, err := decodeSegment(o.Value)
+	if err != nil {
+		return
+	}
+	v.active, v.version = winner, o.Version
+	// A sealed winner says nothing about the segments after it.
+	v.stale, v.fresh = false, !winner.sealed
+}
+
+// seal marks the active segment as complete.
+func (s *shard) seal(ctx context.Context) error {
+	next := s.view.active.clone()
+	next.sealed = true
+	return s.write(ctx, next)
+}
+
+// roll creates the segment after a sealed one and moves the head to it. The
+// view is read anew, since another process may have done so.
+func (s *shard) roll(ctx context.Context) error {
+	s.view.stale = true
+	h := s.view.head
+	if err := s.createSegment(ctx, h.Active+1); err != nil {
+		return err
+	}
+	_, err := s.putHead(ctx, head{Active: h.Active + 1, Floor: h.Floor}, s.view.headVersion)
+	return ignoreConflict(err)
+}
