Idempotency keys made by callers are claimed in the platform

Cause: a reservation whose caller retries over another entry must run once. Ways weighed: dispatch only by the call that committed the claim, or by every call that learns it. The second: the bound incarnation's ledger starts an action once, and an entry that dies between claim and dispatch leaves no dead key.

--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -33,6 +33,9 @@
 	// ReadyDelay is the time between the first failing answer of /readyz and the
 	// end of accepting connections at shutdown. Default: 0.
 	ReadyDelay time.Duration
+	// KeyRetention is the age at which an idempotency key made by a caller
+	// expires. It must be below the agents' retention of actions. Default: 30 min.
+	KeyRetention time.Duration
 	// Events is the number of events that the time line keeps. Default: 20,000.
 	Events    int
 	Caller    caller.Config
@@ -48,6 +51,7 @@
 		OperatorListen: "127.0.0.1:8081",
 		PeerListen:     "127.0.0.1:8082",
 		Policy:         route.PredictedTime,
+		KeyRetention:   30 * time.Minute,
 		Events:         20_000,
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
@@ -71,6 +75,9 @@
 	if c.Events <= 0 {
 		l.Addf("events", "%d is not positive", c.Events)
 	}
+	if c.KeyRetention <= 0 {
+		l.Addf("key-retention", "duration %v is not positive", c.KeyRetention)
+	}
 	if c.ReadyDelay < 0 {
 		l.Addf("ready-delay", "duration %v is negative", c.ReadyDelay)
 	}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
 	"github.com/siskinford/siskinford/wire/keys"
@@ -44,6 +45,7 @@
 	pool      *link.Pool
 	table     *route.Table
 	endpoints *endpoints.Manager
+	claims    *claim.Claimer
 	callers   *http.Server
 	operators *http.Server
 
@@ -78,6 +80,10 @@
 	s.state = newState(d.Ring, func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 	})
+	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
+		cancel()
+		return nil, err
+	}
 	s.callers = s.newCallerServer(picker)
 	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
 	return s, nil
@@ -94,6 +100,7 @@
 		Admitter:   unlimited{},
 		Actions: actions.New(actions.Deps{
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
+			Claimer: actions.NewKeyClaimer(s.claims),
 		}),
 		Recorder: s.deps.Ring,
 		Metrics:  caller.NewMetrics(s.metrics),
@@ -164,6 +171,7 @@
 	s.cancel()
 	_ = s.operators.Close()
 	_ = s.callers.Close()
+	s.claims.Close()
 	s.endpoints.Close()
 	s.pool.Close()
 	s.wg.Wait()
