Process test: a reservation runs at most once under nine faults

Change: TestActionRunsAtMostOnce kills, freezes, silences, cuts and reorders while a reservation runs, tries again at another entry and counts the runs at the plain service.

--- /dev/null
+++ b/itest/once_test.go
@@ -0,0 +1,159 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/lab/faultproxy"
+	"github.com/siskinford/siskinford/lab/procs"
+)
+
+// pollInterval is the time between checks of a condition.
+const pollInterval = 10 * time.Millisecond
+
+// await waits until a condition holds.
+func await(ctx context.Context, t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: %v", what, ctx.Err())
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// faultCase is a fault that strikes while an action runs.
+type faultCase struct {
+	name   string
+	strike func(ctx context.Context, t *testing.T, c *procs.Cluster)
+	// heal ends the fault before the caller tries again. It may be nil.
+	heal func(ctx context.Context, t *testing.T, c *procs.Cluster)
+	// want is what the later tries must learn.
+	want outcome.Outcome
+}
+
+func plainEndpoint(c *procs.Cluster) *procs.Endpoint {
+	for _, e := range c.Endpoints {
+		if e.Config.Service == procs.PlainService {
+			return e
+		}
+	}
+	return nil
+}
+
+func actionFaults() []faultCase {
+	return []faultCase{
+		{
+			name:   "entry is killed",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) { c.Entries[0].Process.Kill() },
+			want:   outcome.Ran,
+		},
+		{
+			name:   "entry is frozen",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) { c.Entries[0].Process.Freeze() },
+			want:   outcome.Ran,
+		},
+		{
+			name:   "connections to the agent go silent",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) { plainEndpoint(c).Proxy.SilenceExisting() },
+			want:   outcome.Ran,
+		},
+		{
+			name: "answers of the agent are cut off, then healed",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				plainEndpoint(c).Proxy.Set(faultproxy.Faults{CutToClient: true})
+			},
+			heal: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				plainEndpoint(c).Proxy.Set(faultproxy.Faults{})
+			},
+			want: outcome.Ran,
+		},
+		{
+			name: "packets are lost, doubled and reordered",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				plainEndpoint(c).Proxy.Set(faultproxy.Faults{Loss: 0.1, Duplicate: 0.2, Reorder: 0.2})
+			},
+			want: outcome.Ran,
+		},
+		{
+			name: "agent is frozen, then thawed",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				plainEndpoint(c).Agent.Freeze()
+			},
+			heal: func(_ context.Context, _ *testing.T, c *procs.Cluster) { plainEndpoint(c).Agent.Thaw() },
+			want: outcome.Ran,
+		},
+		{
+			name: "agent is killed and restarted",
+			strike: func(ctx context.Context, t *testing.T, c *procs.Cluster) {
+				plainEndpoint(c).Agent.Kill()
+				assert.NilError(t, c.RestartAgent(ctx, plainEndpoint(c)))
+			},
+			want: outcome.Unknown,
+		},
+		{
+			name: "platform is cut off",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				for _, e := range c.Entries {
+					e.Platform.Set(cutBoth)
+				}
+			},
+			want: outcome.Ran,
+		},
+		{
+			name: "entry is killed and the connections of the other go silent",
+			strike: func(_ context.Context, _ *testing.T, c *procs.Cluster) {
+				c.Entries[0].Process.Kill()
+				plainEndpoint(c).Proxy.SilenceExisting()
+			},
+			want: outcome.Ran,
+		},
+	}
+}
+
+// tryUntil repeats an action at an entry until its outcome is the wanted one.
+func tryUntil(ctx context.Context, t *testing.T, caller *client, e *procs.Entry, key, body string, want outcome.Outcome) answer {
+	t.Helper()
+	var last answer
+	await(ctx, t, fmt.Sprintf("outcome %q", want), func() bool {
+		last = caller.plain(ctx, e, http.MethodPost, "/reservations", key, body)
+		return last.Err == nil && last.Outcome == want
+	})
+	return last
+}
+
+// TestActionRunsAtMostOnce strikes while a reservation runs and lets its caller
+// try again at another entry. The plain service's own counter is the witness.
+func TestActionRunsAtMostOnce(t *testing.T) {
+	for _, tc := range actionFaults() {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, c := cluster(t, procs.Options{Entries: 2, Models: 1, Plains: 1, PlainArgs: []string{"--delay=500ms"}})
+			caller := newClient()
+			key := caller.ticket(ctx, t, c.Entries[0])
+			body := `{"id":"chest-7"}`
+			first := make(chan answer, 1)
+			go func() { first <- caller.plain(ctx, c.Entries[0], http.MethodPost, "/reservations", key, body) }()
+			await(ctx, t, "the action runs", func() bool { return runs(ctx, t, c)[key] > 0 })
+			tc.strike(ctx, t, c)
+			if tc.heal != nil {
+				time.AfterFunc(2*time.Second, func() { tc.heal(ctx, t, c) })
+			}
+			last := tryUntil(ctx, t, caller, c.Entries[1], key, body, tc.want)
+			if tc.want == outcome.Ran {
+				assert.Equal(t, last.Status, http.StatusCreated, "%s", last.Body)
+			}
+			c.Entries[0].Process.Thaw()
+			if a := <-first; a.Err == nil {
+				assert.Assert(t, a.Outcome != outcome.NotRun, "it ran: %s", a.Body)
+			}
+			assert.Equal(t, runs(ctx, t, c)[key], 1)
+		})
+	}
+}
