--- /dev/null
+++ b/fleet/rendezvous/rendezvous_test.go
@@ -0,0 +1,42 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/siskinford/siskinford/core/id"
+	"gotest.tools/v3/assert"
+)
+
+func TestLossOfHostMovesOnlyItsDuties(t *testing.T) {
+	var hosts []id.Host
+	for i := range 36 {
+		hosts = append(hosts, id.Host(fmt.Sprintf("host-%d", i)))
+	}
+	fewer := slices.Delete(slices.Clone(hosts), 7, 8)
+	held := make(map[id.Host]int)
+	const duties = 3600
+	for i := range duties {
+		key := fmt.Sprintf("duty-%d", i)
+		before, ok := First(key, hosts)
+		assert.Assert(t, ok)
+		assert.Equal(t, before, Rank(key, hosts)[0])
+		after, _ := First(key, fewer)
+		if before != hosts[7] {
+			assert.Equal(t, after, before)
+		} else {
+			assert.Equal(t, after, Rank(key, hosts)[1])
+		}
+		held[before]++
+	}
+	for h, n := range held {
+		assert.Assert(t, n > 50 && n < 160, "%s holds %d of %d duties", h, n, duties)
+	}
+}
+
+func TestNoHosts(t *testing.T) {
+	_, ok := First("duty", nil)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(Rank("duty", nil)), 0)
+}
--- /dev/null
+++ b/fleet/spread/message.go
@@ -0,0 +1,96 @@
+package spread
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/fleet/platform"
+)
+
+// Digest tells which versions a host has in force. It rides on heartbeats.
+type Digest struct {
+	Versions map[config.Kind]uint64 `cbor:"1,keyasint,omitempty"`
+	// Ready is false while the host does not know whether it misses anything.
+	Ready bool `cbor:"2,keyasint,omitempty"`
+}
+
+// target is a host that a push must reach.
+type target struct {
+	Host    id.Host `cbor:"1,keyasint"`
+	Address string  `cbor:"2,keyasint"`
+}
+
+// object is a version of a kind with its deflated value.
+type object struct {
+	Kind    config.Kind `cbor:"1,keyasint"`
+	Version uint64      `cbor:"2,keyasint"`
+	Value   []byte      `cbor:"3,keyasint"`
+}
+
+// request is a call to a peer. At most one of Push and Fetch is set. Every call
+// is answered with the digest.
+type request struct {
+	Push *push `cbor:"1,keyasint,omitempty"`
+	// Fetch asks for the current version of a kind.
+	Fetch config.Kind `cbor:"2,keyasint,omitempty"`
+}
+
+// push brings an object to a host, which passes it on to the hosts in Rest.
+type push struct {
+	Object object   `cbor:"1,keyasint"`
+	Rest   []target `cbor:"2,keyasint,omitempty"`
+}
+
+// answer is the answer to a request.
+type answer struct {
+	Digest Digest  `cbor:"1,keyasint"`
+	Object *object `cbor:"2,keyasint,omitempty"`
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration message: %w", err)
+	}
+	return b, nil
+}
+
+func decode(b []byte, v any) error {
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode configuration message: %w", err)
+	}
+	return nil
+}
+
+func deflate(value []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// inflate returns the value, or an error if it exceeds what the platform stores.
+func inflate(deflated []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(deflated))
+	value, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("inflate configuration: %w", err)
+	}
+	if len(value) > platform.MaxValueBytes {
+		return nil, fmt.Errorf("configuration exceeds %d bytes", platform.MaxValueBytes)
+	}
+	return value, nil
+}
