Entries join a fleet: membership, configuration spread, host list

Cause: every entry watched the platform by itself and could not learn a version from its peers. Change: entry/peer carries control calls over QUIC links, the entry runs membership and spread, one entry of a zone reads the host list and passes on which hosts leave.

--- a/entry/endpoints/manager.go
+++ b/entry/endpoints/manager.go
@@ -69,6 +69,8 @@
 
 	// mu is taken before the table's and the pool's locks.
 	mu        sync.Mutex
+	endpoints []config.Endpoint // those in use
+	leaving   map[id.Host]bool
 	addresses map[id.Endpoint]string
 	watchers  map[id.Endpoint]*watcher
 	reports   map[id.Endpoint]Seen
@@ -140,7 +142,8 @@
 	for _, e := range endpoints {
 		m.addresses[e.Name] = e.Address
 	}
-	m.table.SetEndpoints(routeEndpoints(wanted), now)
+	m.endpoints = wanted
+	m.table.SetEndpoints(m.routeEndpoints(), now)
 	used := make(map[id.Endpoint]bool, len(wanted))
 	for _, e := range wanted {
 		used[e.Name] = true
@@ -169,10 +172,23 @@
 	m.wg.Go(w.run)
 }
 
-func routeEndpoints(endpoints []config.Endpoint) []route.Endpoint {
-	out := make([]route.Endpoint, len(endpoints))
-	for i, e := range endpoints {
-		out[i] = route.Endpoint{Name: e.Name, Service: e.Service, Zone: e.Zone, Weight: weight(e), Draining: e.Drain}
+// SetLeaving takes the endpoints of leaving hosts out of use.
+func (m *Manager) SetLeaving(hosts map[id.Host]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = hosts
+	m.table.SetEndpoints(m.routeEndpoints(), time.Now())
+}
+
+// routeEndpoints returns the endpoints in use for the routing table. The caller
+// holds m.mu.
+func (m *Manager) routeEndpoints() []route.Endpoint {
+	out := make([]route.Endpoint, len(m.endpoints))
+	for i, e := range m.endpoints {
+		out[i] = route.Endpoint{
+			Name: e.Name, Service: e.Service, Zone: e.Zone, Weight: weight(e),
+			Draining: e.Drain || m.leaving[e.Host],
+		}
 	}
 	return out
 }
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -28,6 +28,9 @@
 	OperatorListen string
 	// PeerListen is the UDP address for other entries. Default: 127.0.0.1:8082.
 	PeerListen string
+	// PeerAddress is the address under which other entries reach PeerListen.
+	// Default: the address that PeerListen is bound to.
+	PeerAddress string
 	// Policy is the routing policy. Default: predicted-time.
 	Policy route.Policy
 	// ReadyDelay is the time between the first failing answer of /readyz and the
--- /dev/null
+++ b/entry/server/fleet.go
@@ -0,0 +1,100 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/hosts"
+	"github.com/siskinford/siskinford/entry/peer"
+	"github.com/siskinford/siskinford/fleet/member"
+	"github.com/siskinford/siskinford/fleet/spread"
+	"github.com/siskinford/siskinford/fleet/transport"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// node is the entry's part in the fleet: membership, spread of configurations
+// and the host list.
+type node struct {
+	pool     *link.Pool
+	server   *link.Server
+	members  *member.Runner
+	spreader *spread.Spreader
+	hosts    *hosts.Watcher
+}
+
+// startNode listens for other entries and joins the fleet.
+func (s *Server) startNode() error {
+	n := &s.node
+	n.pool = link.NewPool(s.config.Link, func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
+	mux := transport.NewMux(peer.NewCaller(n.pool), s.metrics)
+	var err error
+	handler := peer.NewServer(mux.Handle, s.events)
+	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), s.config.Link, handler)
+	if err != nil {
+		return err
+	}
+	if n.members, err = s.newMembers(mux); err != nil {
+		return err
+	}
+	n.spreader, err = spread.New(spread.Options{
+		Config: spread.Default(), Zone: s.config.Zone, Store: s.deps.Store, Applier: s.holder,
+		Peers: n.members, Caller: mux.Caller(transport.Configuration), Recorder: s.deps.Ring, Seed: rand.Uint64(),
+	})
+	if err != nil {
+		return err
+	}
+	n.hosts = hosts.New(hosts.DefaultConfig(), hosts.Deps{
+		Store: s.deps.Store, Members: n.members, Caller: mux.Caller(transport.Duties),
+		Recorder: s.deps.Ring, Leaving: s.setLeaving,
+	})
+	mux.Register(transport.Membership, n.members.Handle)
+	mux.Register(transport.Configuration, n.spreader.Handle)
+	mux.Register(transport.Duties, n.hosts.Handle)
+	for _, run := range []func(context.Context){n.members.Run, n.spreader.Run, n.hosts.Run} {
+		s.wg.Go(func() { run(s.ctx) })
+	}
+	return nil
+}
+
+func (s *Server) newMembers(mux *transport.Mux) (*member.Runner, error) {
+	address := s.config.PeerAddress
+	if address == "" {
+		address = s.node.server.Address()
+	}
+	return member.NewRunner(member.Options{
+		Config: member.Default(), Zone: s.config.Zone, Host: s.config.Host, Address: address, Seed: rand.Uint64(),
+		Note: func() []byte { return s.node.spreader.Note() },
+		OnNote: func(from member.Peer, zone id.Zone, note []byte) {
+			s.node.spreader.OnNote(from, zone, note)
+		},
+		OnChange: s.memberChanged,
+	}, mux.Caller(transport.Membership), time.Now)
+}
+
+func (s *Server) memberChanged(c member.Change) {
+	s.deps.Ring.Record(timeline.Event{
+		Kind: "host." + timeline.Kind(c.Peer.State.String()), Detail: string(c.Peer.Host),
+	})
+}
+
+// setLeaving takes endpoints on leaving hosts out of use.
+func (s *Server) setLeaving(leaving map[id.Host]bool) { s.endpoints.SetLeaving(leaving) }
+
+// PeerAddress returns the UDP address for other entries.
+func (s *Server) PeerAddress() string { return s.node.server.Address() }
+
+// maxEvents bounds the events of one answer.
+const maxEvents = 5000
+
+// events answers a question for the time line of this process.
+func (s *Server) events(o *msg.EventsOrder) *msg.Events {
+	return &msg.Events{Process: string(s.config.Host), Events: timeline.Select(s.deps.Ring, timeline.Filter{
+		Since: o.Since, Request: o.Request, Endpoint: o.Endpoint, Kind: timeline.Kind(o.Kind), Limit: min(o.Limit, maxEvents),
+	})}
+}
--- a/entry/server/operator.go
+++ b/entry/server/operator.go
@@ -30,7 +30,7 @@
 
 // Ready reports whether the configuration is known and each endpoint was asked for its load.
 func (s *Server) Ready() bool {
-	return s.state.current.Load().Complete() && s.endpoints.Settled()
+	return s.holder.Current().Complete() && s.endpoints.Settled()
 }
 
 // unlimited admits every call.
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/spread"
 	"github.com/siskinford/siskinford/wire/keys"
 	"github.com/siskinford/siskinford/wire/link"
 )
@@ -41,7 +42,8 @@
 	deps    Deps
 	metrics *metrics.Set
 
-	state     *state
+	holder    *spread.Holder
+	node      node
 	pool      *link.Pool
 	table     *route.Table
 	endpoints *endpoints.Manager
@@ -66,7 +68,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
-	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent, keys.RoleEntry) })
+	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	s.table = route.NewTable(route.Config{})
 	picker, err := route.New(c.Policy, s.table)
 	if err != nil {
@@ -77,7 +79,7 @@
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
 	s.endpoints = endpoints.New(endpointConfig, s.table, nil, s.pool, d.Ring)
-	s.state = newState(d.Ring, func(n *config.Snapshot) {
+	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 	})
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
@@ -116,7 +118,7 @@
 
 // catalog returns the configuration in force once all kinds are known.
 func (s *Server) catalog() (caller.Catalog, bool) {
-	snapshot := s.state.current.Load()
+	snapshot := s.holder.Current()
 	return snapshot, snapshot.Complete()
 }
 
@@ -138,12 +140,16 @@
 		_ = s.callerListener.Close()
 		return errors.Wrap(err, "listen for operators")
 	}
-	s.wg.Go(func() { s.watchPlatform(s.ctx, s.deps.Store) })
+	if err = s.startNode(); err != nil {
+		_ = s.callerListener.Close()
+		_ = s.operatorListener.Close()
+		return err
+	}
 	s.wg.Go(func() { _ = s.callers.Serve(s.callerListener) })
 	s.wg.Go(func() { _ = s.operators.Serve(s.operatorListener) })
 	s.deps.Ring.Record(timeline.Event{Kind: "entry.started", Detail: s.CallerAddress()})
 	s.deps.Log.Info().Str("event", "entry.started").Str("callers", s.CallerAddress()).
-		Str("operators", s.OperatorAddress()).Msg("entry serves")
+		Str("operators", s.OperatorAddress()).Str("peers", s.PeerAddress()).Msg("entry serves")
 	return nil
 }
 
@@ -161,6 +167,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.deps.Ring.Record(timeline.Event{Kind: "entry.stopping"})
+	s.node.members.Leave()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
@@ -175,6 +182,8 @@
 	s.endpoints.Close()
 	s.pool.Close()
 	s.wg.Wait()
+	s.node.pool.Close()
+	s.node.server.Close()
 	return err
 }
 
@@ -186,3 +195,13 @@
 	defer cancel()
 	_ = s.callers.Shutdown(ctx)
 }
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -10,6 +10,7 @@
 	s.Address(&c.CallerListen, "caller-listen", "TCP address for callers")
 	s.Address(&c.OperatorListen, "operator-listen", "TCP address for operators")
 	s.Address(&c.PeerListen, "peer-listen", "UDP address for other entries")
+	s.Address(&c.PeerAddress, "peer-address", "UDP address under which other entries reach this one; empty means peer-listen")
 	settings.Text(s, &c.Policy, "policy", "Routing policy: predicted-time, round-robin or least-connections")
 	s.Duration(&c.ReadyDelay, "ready-delay", "Time between failing /readyz and refusing connections at shutdown")
 	s.Duration(&c.KeyRetention, "key-retention", "Age at which an idempotency key made by a caller expires")
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -100,9 +100,26 @@
 			return err
 		}
 	}
+	f.Platform.SetHosts(f.hosts())
 	return f.awaitReady(ctx)
 }
 
+// hosts returns the platform's host list.
+func (f *Fleet) hosts() []fleetplatform.Host {
+	var list []fleetplatform.Host
+	for _, e := range f.Entries {
+		list = append(list, fleetplatform.Host{
+			Name: e.Host, Zone: e.Zone, Address: e.Server.PeerAddress(), Role: string(keys.RoleEntry), State: fleetplatform.HostLive,
+		})
+	}
+	for _, a := range f.Agents {
+		list = append(list, fleetplatform.Host{
+			Name: a.Endpoint.Host, Zone: a.Endpoint.Zone, Role: string(keys.RoleAgent), State: fleetplatform.HostLive,
+		})
+	}
+	return list
+}
+
 // serve serves a handler on a free port of loopback.
 func (f *Fleet) serve(h http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -1,6 +1,7 @@
 package procs
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
 	"github.com/siskinford/siskinford/lab/faultproxy"
+	labplatform "github.com/siskinford/siskinford/lab/platform"
 	"github.com/siskinford/siskinford/wire/keys"
 )
 
@@ -62,6 +64,7 @@
 	Platform  *faultproxy.TCP
 	URL       string
 	Operators string
+	Peers     string
 
 	args, env []string
 }
@@ -132,6 +135,9 @@
 			return err
 		}
 	}
+	if err := c.SetHosts(ctx, nil); err != nil {
+		return err
+	}
 	for _, e := range c.Entries {
 		if err := AwaitReady(ctx, e.Operators); err != nil {
 			return err
@@ -270,6 +276,51 @@
 	return nil
 }
 
+// SetHosts replaces the platform's host list by all hosts of the cluster, with
+// the given ones marked as leaving.
+func (c *Cluster) SetHosts(ctx context.Context, leaving map[id.Host]bool) error {
+	var list platform.HostList
+	add := func(h platform.Host) {
+		h.State = platform.HostLive
+		if leaving[h.Name] {
+			h.State = platform.HostLeaving
+		}
+		list.Hosts = append(list.Hosts, h)
+	}
+	for _, e := range c.Entries {
+		add(platform.Host{Name: e.Host, Zone: e.Zone, Address: e.Peers, Role: string(keys.RoleEntry)})
+	}
+	for _, e := range c.Endpoints {
+		add(platform.Host{Name: e.Config.Host, Zone: e.Config.Zone, Role: string(keys.RoleAgent)})
+	}
+	return c.putLab(ctx, "/lab/hosts", list)
+}
+
+// SetPlatformFaults sets the faults of the platform stand-in.
+func (c *Cluster) SetPlatformFaults(ctx context.Context, f labplatform.Faults) error {
+	return c.putLab(ctx, "/lab/faults", f)
+}
+
+func (c *Cluster) putLab(ctx context.Context, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", path)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.PlatformURL+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "set %s", path)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answered status %d", path, response.StatusCode)
+	}
+	return nil
+}
+
 func (c *Cluster) startEntry(ctx context.Context, e *Entry, callers, operators string) error {
 	args := append([]string{"--caller-listen=" + callers, "--operator-listen=" + operators}, e.args...)
 	p, err := Start(string(e.Host), c.options.Binaries.Entry, args, e.env)
@@ -283,6 +334,7 @@
 	}
 	e.URL = "http://" + event.Text("callers")
 	e.Operators = "http://" + event.Text("operators")
+	e.Peers = event.Text("peers")
 	return nil
 }
 
