--- /dev/null
+++ b/lab/engine/group.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"context"
+	"sync"
+)
+
+// StepRecord is the witness of one lock-step of a group.
+type StepRecord struct {
+	Step uint64 `json:"step"`
+	// MapVersions holds the expert map version that each rank used.
+	MapVersions []uint64 `json:"map_versions"`
+}
+
+// Group makes ranks run in lock-step: a step begins only when every rank has joined it.
+type Group struct {
+	size int
+	keep int
+
+	// mu is taken after Engine.mu, never before it.
+	mu      sync.Mutex
+	engines []*Engine
+	active  bool
+	barrier *barrier
+	step    uint64
+	records []StepRecord
+	split   []StepRecord
+}
+
+// barrier collects the ranks of one step.
+type barrier struct {
+	joined   int
+	busy     bool
+	present  []bool
+	versions []uint64
+	open     chan struct{}
+}
+
+// maxSplitRecords bounds the kept records of steps on different maps.
+const maxSplitRecords = 1024
+
+// NewGroup returns a group of size ranks that keeps the records of the last
+// keep steps, and apart from these those of steps on different maps.
+func NewGroup(size, keep int) *Group {
+	g := &Group{size: size, keep: keep, engines: make([]*Engine, size)}
+	g.barrier = g.newBarrier()
+	return g
+}
+
+func (g *Group) newBarrier() *barrier {
+	return &barrier{present: make([]bool, g.size), versions: make([]uint64, g.size), open: make(chan struct{})}
+}
+
+func (g *Group) register(rank int, e *Engine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engines[rank] = e
+}
+
+func (g *Group) isActive() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.active
+}
+
+// activate wakes all ranks so that they join the next step.
+func (g *Group) activate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.active {
+		return
+	}
+	g.active = true
+	for _, e := range g.engines {
+		if e != nil {
+			e.notify()
+		}
+	}
+}
+
+// join blocks until every rank has joined the step. It reports whether any
+// rank has work, and false once ctx has ended.
+func (g *Group) join(ctx context.Context, rank int, version uint64, busy bool) (active, ok bool) {
+	g.mu.Lock()
+	b := g.barrier
+	if !b.present[rank] {
+		b.present[rank] = true
+		b.joined++
+	}
+	b.versions[rank] = version
+	b.busy = b.busy || busy
+	if b.joined == g.size {
+		g.complete(b)
+	}
+	g.mu.Unlock()
+	select {
+	case <-b.open:
+		return b.busy, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
+
+// complete records the step and opens its barrier. g.mu must be held.
+func (g *Group) complete(b *barrier) {
+	g.step++
+	record := StepRecord{Step: g.step, MapVersions: b.versions}
+	g.records = append(g.records, record)
+	if len(g.records) > 2*g.keep {
+		g.records = append(g.records[:0], g.records[g.keep:]...)
+	}
+	if record.splits() && len(g.split) < maxSplitRecords {
+		g.split = append(g.split, record)
+	}
+	g.active = b.busy
+	g.barrier = g.newBarrier()
+	close(b.open)
+}
+
+func (r StepRecord) splits() bool {
+	for _, version := range r.MapVersions {
+		if version != r.MapVersions[0] {
+			return true
+		}
+	}
+	return false
+}
+
+// Steps returns the records of the last steps.
+func (g *Group) Steps() []StepRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]StepRecord{}, g.records...)
+}
+
+// SplitSteps returns the records of steps in which ranks used different maps.
+func (g *Group) SplitSteps() []StepRecord {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]StepRecord{}, g.split...)
+}
--- /dev/null
+++ b/lab/engine/group_test.go
@@ -0,0 +1,83 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	client "github.com/siskinford/siskinford/agent/engine"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/lab/engine"
+)
+
+const ranks = 4
+
+func startGroup(t *testing.T, c engine.Config) (*engine.Group, []setup) {
+	t.Helper()
+	c.Group = engine.NewGroup(ranks, 1<<16)
+	var setups []setup
+	for rank := range ranks {
+		c.Rank = rank
+		setups = append(setups, start(t, c))
+	}
+	return c.Group, setups
+}
+
+func TestRanksStepTogether(t *testing.T) {
+	group, setups := startGroup(t, engine.Config{})
+	for round := range 3 {
+		var done []<-chan result
+		for rank, s := range setups[:ranks-1] {
+			attempt := id.Attempt(fmt.Sprintf("att_%d_%d", round, rank))
+			done = append(done, s.background(client.Request{Attempt: attempt, Prompt: "x", MaxTokens: 20 * (rank + 1)}))
+		}
+		for _, d := range done {
+			assert.NilError(t, (<-d).err)
+		}
+	}
+	assert.Assert(t, len(group.Steps()) >= 3*60)
+	assert.Equal(t, len(group.SplitSteps()), 0)
+
+	// Without a protocol above them, ranks that hold different maps split the step.
+	assert.NilError(t, setups[1].client.Order(setups[1].ctx, client.Order{Kind: client.OrderMap, Epoch: 1, MapVersion: 2}))
+	assert.NilError(t, setups[0].run(client.Request{Attempt: "att_split", Prompt: "x", MaxTokens: 1}).err)
+	split := group.SplitSteps()
+	assert.Assert(t, len(split) > 0, "the witness must show ranks on different maps")
+	assert.DeepEqual(t, split[0].MapVersions, []uint64{0, 2, 0, 0})
+}
+
+func TestStalledRankStallsTheGroup(t *testing.T) {
+	group, setups := startGroup(t, engine.Config{})
+	setups[3].engine.SetFaults(engine.Faults{Stall: true})
+	done := setups[0].background(client.Request{Attempt: "att_1", Prompt: "x", MaxTokens: 5})
+	setups[0].await(t, "admission", func() bool { return setups[0].engine.Runs()["att_1"].Accepted == 1 })
+	assert.Equal(t, len(group.Steps()), 0)
+	assert.Equal(t, setups[0].engine.Runs()["att_1"].Tokens, 0)
+	setups[3].engine.SetFaults(engine.Faults{})
+	assert.NilError(t, (<-done).err)
+}
+
+func TestGatedRanksNeedPermits(t *testing.T) {
+	group, setups := startGroup(t, engine.Config{Gated: true})
+	done := setups[0].background(client.Request{Attempt: "att_1", Prompt: "x", MaxTokens: 20})
+	permit := func(from, through, version uint64) {
+		for _, s := range setups {
+			order := client.Order{Kind: client.OrderSteps, Epoch: 1, From: from, Through: through, MapVersion: version}
+			assert.NilError(t, s.client.Order(s.ctx, order))
+		}
+	}
+	permit(1, 5, 7)
+	setups[0].await(t, "five steps", func() bool { return len(group.Steps()) == 5 })
+	assert.Equal(t, setups[0].engine.Runs()["att_1"].Finished, 0)
+	permit(6, 1000, 8)
+	assert.NilError(t, (<-done).err)
+	assert.Equal(t, len(group.SplitSteps()), 0)
+	for _, step := range group.Steps() {
+		want := uint64(7)
+		if step.Step > 5 {
+			want = 8
+		}
+		assert.Equal(t, step.MapVersions[0], want, "step %d", step.Step)
+	}
+}
