--- a/agent/gate/report.go
+++ b/agent/gate/report.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,15 +24,25 @@
 	load        engine.Load
 	loadAt      time.Time
 	healthy     bool
-	cacheSeq    uint64
+	// events are the engine's latest cache events, oldest first.
+	events []msg.CacheEvent
 }
 
 type subscriber struct {
 	order    uint64
 	interval time.Duration
 	next     time.Time
+	// cacheSeq is the last cache event that was sent.
+	cacheSeq uint64
 }
 
+const (
+	// maxCacheEvents bounds the cache events that are kept for subscribers.
+	maxCacheEvents = 4096
+	// maxReportEvents bounds the cache events of one report.
+	maxReportEvents = 256
+)
+
 func (r *reporter) init(a *Agent) {
 	r.agent = a
 	r.wake = make(chan struct{}, 1)
@@ -92,6 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.agent.config.EnginePoll*5)
 	defer cancel()
 	load, err := e.Load(ctx)
+	events, eventsErr := e.CacheEvents(ctx, r.lastEvent())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.healthy = err == nil
@@ -99,6 +112,36 @@
 		r.load = load
 		r.loadAt = r.agent.now()
 	}
+	if eventsErr == nil {
+		r.keep(events)
+	}
+}
+
+// lastEvent returns the sequence number of the last cache event that was read.
+func (r *reporter) lastEvent() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) == 0 {
+		return 0
+	}
+	return r.events[len(r.events)-1].Seq
+}
+
+// keep adds cache events and drops the oldest beyond the bound. The caller holds r.mu.
+func (r *reporter) keep(events []engine.CacheEvent) {
+	for _, e := range events {
+		r.events = append(r.events, msg.CacheEvent{Seq: e.Seq, Block: e.Block, Evicted: e.Evicted, Cleared: e.Cleared})
+	}
+	if excess := len(r.events) - maxCacheEvents; excess > 0 {
+		r.events = slices.Delete(r.events, 0, excess)
+	}
+}
+
+// eventsAfter returns the next cache events for a subscriber. The caller holds r.mu.
+func (r *reporter) eventsAfter(seq uint64) []msg.CacheEvent {
+	first, _ := slices.BinarySearchFunc(r.events, seq+1, func(e msg.CacheEvent, s uint64) int { return cmp.Compare(e.Seq, s) })
+	last := min(first+maxReportEvents, len(r.events))
+	return slices.Clone(r.events[first:last])
 }
 
 // send sends a report to each subscriber whose interval has passed.
@@ -119,8 +162,13 @@
 			continue
 		}
 		sub.next = now.Add(sub.interval)
+		own := *report
+		own.CacheEvents = r.eventsAfter(sub.cacheSeq)
+		if n := len(own.CacheEvents); n > 0 {
+			sub.cacheSeq = own.CacheEvents[n-1].Seq
+		}
 		r.subscribers[s] = sub
-		s.Reply(&msg.Reply{ID: sub.order, Report: report})
+		s.Reply(&msg.Reply{ID: sub.order, Report: &own})
 	}
 }
 
--- /dev/null
+++ b/entry/endpoints/cache.go
@@ -0,0 +1,25 @@
+package endpoints
+
+import (
+	"github.com/siskinford/siskinford/balance/prefix"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// PrefixSink feeds the prefix cache events of endpoints to an index. It
+// implements CacheSink.
+type PrefixSink struct {
+	Index *prefix.Index
+}
+
+// CacheEvents implements CacheSink. After a gap nothing that was known before is
+// believed: the endpoint starts again with an empty cache as of the last event.
+func (p PrefixSink) CacheEvents(e id.Endpoint, inc id.Incarnation, events []msg.CacheEvent) {
+	converted := make([]prefix.Event, len(events))
+	for i, event := range events {
+		converted[i] = prefix.Event{Seq: event.Seq, Block: event.Block, Evicted: event.Evicted, Cleared: event.Cleared}
+	}
+	if !p.Index.Apply(e, inc, converted) {
+		p.Index.Snapshot(e, inc, events[len(events)-1].Seq, nil)
+	}
+}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/siskinford/siskinford/balance/prefix"
 	"github.com/siskinford/siskinford/balance/retry"
 	"github.com/siskinford/siskinford/balance/route"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -69,7 +70,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
-	s.table = route.NewTable(route.Config{})
+	prefixes := prefix.NewIndex(prefix.Config{})
+	s.table = route.NewTable(route.Config{Prefixes: prefixes})
 	picker, err := route.New(c.Policy, s.table)
 	if err != nil {
 		cancel()
@@ -78,7 +80,7 @@
 	endpointConfig := c.Endpoints
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
-	s.endpoints = endpoints.New(endpointConfig, s.table, nil, s.pool, d.Ring)
+	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, d.Ring)
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 	})
