Cheaper path: fastjson for engine events, encoding into the outbox, yielding writer

Cause: profiles show 7 us JSON a token at the agent and one packet for each token. Tried: a writer that sleeps 200 us to gather messages. The runtime's timers round up to 1 ms on an idle process; p50 of one token rose from 1.0 to 3.5 ms. Taken back; the writer now yields four times instead.

--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -3,15 +3,17 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
+
+	"github.com/valyala/fastjson"
 )
 
 var dataPrefix = []byte("data:")
 
 // streamReader reads the server-sent events of one completion.
 type streamReader struct {
+	parser   fastjson.Parser
 	emit     func(Token) error
 	usage    Usage
 	finished bool
@@ -44,16 +46,16 @@
 	if string(data) == StreamEnd {
 		return true, s.result()
 	}
-	var chunk Chunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
+	chunk, err := s.parser.ParseBytes(data)
+	if err != nil {
 		return false, incomplete(err)
 	}
-	if chunk.Usage != nil {
-		s.usage.PromptTokens = chunk.Usage.PromptTokens
-		s.usage.AnswerTokens = chunk.Usage.CompletionTokens
-		s.usage.CachedTokens = chunk.Usage.CachedTokens
+	if usage := chunk.Get("usage"); usage != nil && usage.Type() == fastjson.TypeObject {
+		s.usage.PromptTokens = usage.GetInt("prompt_tokens")
+		s.usage.AnswerTokens = usage.GetInt("completion_tokens")
+		s.usage.CachedTokens = usage.GetInt("cached_tokens")
 	}
-	for _, choice := range chunk.Choices {
+	for _, choice := range chunk.GetArray("choices") {
 		if err := s.choice(choice); err != nil {
 			return false, err
 		}
@@ -61,15 +63,16 @@
 	return false, nil
 }
 
-func (s *streamReader) choice(c Choice) error {
-	if c.FinishReason != "" {
+func (s *streamReader) choice(c *fastjson.Value) error {
+	if reason := c.GetStringBytes("finish_reason"); len(reason) > 0 {
 		s.finished = true
-		s.usage.FinishReason = c.FinishReason
+		s.usage.FinishReason = string(reason)
 	}
-	if c.Text == "" {
+	text := c.GetStringBytes("text")
+	if len(text) == 0 {
 		return nil
 	}
-	return s.emit(Token{Text: c.Text})
+	return s.emit(Token{Text: string(text)})
 }
 
 func (s *streamReader) result() error {
--- a/wire/codec/codec.go
+++ b/wire/codec/codec.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -40,17 +41,32 @@
 	return fmt.Sprintf("message of %d bytes exceeds the limit of %d", e.Bytes, MaxMessageBytes)
 }
 
-// Append encodes m with its prefix and appends it to buf.
-func Append(buf []byte, m any) ([]byte, error) {
-	body, err := cbor.Marshal(m)
+// encMode writes into the caller's buffer.
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
-		return buf, errors.Wrap(err, "encode message")
+		panic(err)
 	}
-	if len(body) > MaxMessageBytes {
-		return buf, &TooLargeError{Bytes: len(body)}
+	return mode
+}
+
+// Write encodes m with its prefix at the end of buf. On an error buf is as before.
+func Write(buf *bytes.Buffer, m any) error {
+	start := buf.Len()
+	_, _ = buf.Write(make([]byte, prefixLen))
+	if err := encMode.MarshalToBuffer(m, buf); err != nil {
+		buf.Truncate(start)
+		return errors.Wrap(err, "encode message")
+	}
+	size := buf.Len() - start - prefixLen
+	if size > MaxMessageBytes {
+		buf.Truncate(start)
+		return &TooLargeError{Bytes: size}
 	}
-	buf = binary.BigEndian.AppendUint32(buf, uint32(len(body)))
-	return append(buf, body...), nil
+	binary.BigEndian.PutUint32(buf.Bytes()[start:], uint32(size))
+	return nil
 }
 
 // Marshal encodes m without a prefix.
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -26,9 +26,9 @@
 	// MaxQueuedBytes bounds the encoded messages that wait for being sent on
 	// one connection. A connection that exceeds it is closed. Default: 64 MiB.
 	MaxQueuedBytes int
-	// GatherDelay is the time that a writer waits for further messages before
-	// it sends a batch. Default: 0.
-	GatherDelay time.Duration
+	// WriterYields is the number of times that a writer lets other goroutines
+	// add messages before it sends a batch. Default: 4.
+	WriterYields int
 }
 
 // DefaultConfig returns the defaults for connections within a region.
@@ -39,6 +39,7 @@
 		SilenceTimeout: 1500 * time.Millisecond,
 		IdleTimeout:    10 * time.Second,
 		MaxQueuedBytes: 64 << 20,
+		WriterYields:   4,
 	}
 }
 
--- a/wire/link/outbox.go
+++ b/wire/link/outbox.go
@@ -1,10 +1,11 @@
 package link
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"runtime"
 	"sync"
-	"time"
 
 	"github.com/siskinford/siskinford/wire/codec"
 )
@@ -15,19 +16,19 @@
 // outbox collects encoded messages and writes them in batches.
 type outbox struct {
 	maxBytes int
-	gather   time.Duration
+	yields   int
 
 	mu     sync.Mutex
 	cond   *sync.Cond
-	buf    []byte
-	spare  []byte
+	buf    *bytes.Buffer
+	spare  *bytes.Buffer
 	queued uint64 // bytes ever put into buf
 	taken  uint64 // bytes ever handed to the writer
 	closed error
 }
 
 func newOutbox(c Config) *outbox {
-	o := &outbox{maxBytes: c.MaxQueuedBytes, gather: c.GatherDelay}
+	o := &outbox{maxBytes: c.MaxQueuedBytes, yields: c.WriterYields, buf: new(bytes.Buffer), spare: new(bytes.Buffer)}
 	o.cond = sync.NewCond(&o.mu)
 	return o
 }
@@ -46,16 +47,15 @@
 	if o.closed != nil {
 		return 0, o.closed
 	}
-	if len(o.buf) > o.maxBytes {
-		return 0, &QueueFullError{Bytes: len(o.buf)}
+	before := o.buf.Len()
+	if before > o.maxBytes {
+		return 0, &QueueFullError{Bytes: before}
 	}
-	before := len(o.buf)
-	o.buf, err = codec.Append(o.buf, m)
-	if err != nil {
+	if err := codec.Write(o.buf, m); err != nil {
 		return 0, err
 	}
 	position = o.queued
-	o.queued += uint64(len(o.buf) - before)
+	o.queued += uint64(o.buf.Len() - before)
 	if before == 0 {
 		o.cond.Signal()
 	}
@@ -76,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := w.Write(batch); err != nil {
+		if _, err := w.Write(batch.Bytes()); err != nil {
 			return err
 		}
 		o.recycle(batch)
@@ -84,31 +84,38 @@
 }
 
 // take waits for messages. After close it still returns those queued before.
-func (o *outbox) take() ([]byte, error) {
+func (o *outbox) take() (*bytes.Buffer, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for len(o.buf) == 0 {
+	for o.buf.Len() == 0 {
 		if o.closed != nil {
 			return nil, o.closed
 		}
 		o.cond.Wait()
 	}
-	if o.gather > 0 && o.closed == nil {
-		o.mu.Unlock()
-		time.Sleep(o.gather)
-		o.mu.Lock()
-	}
+	o.mu.Unlock()
+	yield(o.yields)
+	o.mu.Lock()
 	batch := o.buf
-	o.buf = o.spare[:0]
+	o.buf = o.spare
 	o.spare = nil
 	o.taken = o.queued
 	return batch, nil
 }
 
-func (o *outbox) recycle(batch []byte) {
-	if cap(batch) > maxKeptBuffer {
-		return
+// yield lets goroutines that are ready to run put their messages into the batch.
+// It does not sleep: the runtime's timers are too coarse for that.
+func yield(times int) {
+	for range times {
+		runtime.Gosched()
+	}
+}
+
+func (o *outbox) recycle(batch *bytes.Buffer) {
+	if batch.Cap() > maxKeptBuffer {
+		batch = new(bytes.Buffer)
 	}
+	batch.Reset()
 	o.mu.Lock()
 	o.spare = batch
 	o.mu.Unlock()
