Lease schedules let another holder see a write before its answer arrives

Cause: a trial in which the lease counted from the answer instead of from before the write passed the former schedules. The new table case and the schedules fail with that change and pass without it.

--- a/fleet/duty/duty_test.go
+++ b/fleet/duty/duty_test.go
@@ -109,6 +109,17 @@
 	return func() { _, _ = f.Store.Put(context.Background(), late) }
 }
 
+// slow makes the next write take a TTL to be answered. The observer steps as
+// soon as the write took effect.
+func (f *fleet) slow(observer *duty.Lease) {
+	f.fault = func(o platform.Object) (platform.Object, error) {
+		written, err := f.Store.Put(context.Background(), o)
+		_ = observer.Step(context.Background())
+		f.pass(ttl)
+		return written, err
+	}
+}
+
 func (f *fleet) pass(d time.Duration) { f.time = f.time.Add(d) }
 
 func (f *fleet) step(leases ...*duty.Lease) {
@@ -193,6 +204,14 @@
 			f.step(f.b, f.a)
 			f.holds(1, 0)
 		},
+		"slow answer counts from before the write": func(f *fleet) {
+			f.slow(f.b)
+			f.step(f.a)
+			f.holds(0, 0)
+			f.pass(ttl / 10)
+			f.step(f.b)
+			f.holds(0, 2)
+		},
 		"late renewal after a take-over": func(f *fleet) {
 			f.step(f.a, f.b)
 			arrive := f.delay()
@@ -278,8 +297,9 @@
 		var late []func()
 		lastHolder, lastEpoch := -1, uint64(0)
 		for range steps {
-			f.disturb(random, &late)
-			l := holders[random.IntN(len(holders))]
+			actor := random.IntN(len(holders))
+			l, observer := holders[actor], holders[(actor+1)%len(holders)]
+			f.disturb(random, observer, &late)
 			if random.IntN(12) == 0 {
 				_ = l.Release(context.Background())
 			} else {
@@ -308,7 +328,7 @@
 }
 
 // disturb prepares a fault for the next write, or none.
-func (f *fleet) disturb(random *rand.Rand, late *[]func()) {
+func (f *fleet) disturb(random *rand.Rand, observer *duty.Lease, late *[]func()) {
 	f.down = random.IntN(10) == 0
 	f.fault = nil
 	switch random.IntN(8) {
@@ -316,13 +336,8 @@
 		f.loseAnswer()
 	case 1:
 		*late = append(*late, f.delay())
-	case 2: // a write whose answer is slow
-		f.fault = func(o platform.Object) (platform.Object, error) {
-			f.pass(ttl / 2)
-			written, err := f.Store.Put(context.Background(), o)
-			f.pass(ttl / 2)
-			return written, err
-		}
+	case 2:
+		f.slow(observer)
 	case 3:
 		if len(*late) > 0 {
 			(*late)[0]()
