Events are logged under their names; a broken baseline answer is counted

Ruled out: entry and agent; the address in the error is the reverse proxy's. It logs 'read error during body copy: use of closed network connection' about once in 400 one-token answers, with curl too. Direct calls of the engine showed none in 400. Change: answers that the baseline breaks are counted in the result; the product breaking one stays an error. Events of the time line are logged as JSON lines.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -222,11 +222,5 @@
 func (a *Agent) record(e timeline.Event) {
 	e.Endpoint = a.config.Endpoint
 	e.Incarnation = a.incarnation
-	a.deps.Ring.Record(e)
-	level := zerolog.InfoLevel
-	if e.Attempt != "" {
-		level = zerolog.DebugLevel
-	}
-	a.deps.Log.WithLevel(level).Str("event", string(e.Kind)).Str("request", string(e.Request)).
-		Str("attempt", string(e.Attempt)).Str("endpoint", string(e.Endpoint)).Msg(e.Detail)
+	timeline.Logged{Ring: a.deps.Ring, Log: a.deps.Log}.Record(e)
 }
--- /dev/null
+++ b/core/timeline/log.go
@@ -0,0 +1,44 @@
+package timeline
+
+import (
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// Logged is a Recorder that also writes events to a log. Events carry the same
+// names and IDs there. Events of requests and attempts are logged at debug level,
+// unless they tell of an outcome that is unknown or of a broken answer.
+type Logged struct {
+	Ring *Ring
+	Log  zerolog.Logger
+}
+
+// Record implements Recorder.
+func (l Logged) Record(e Event) {
+	l.Ring.Record(e)
+	entry := l.Log.WithLevel(level(e))
+	for _, f := range []struct{ name, value string }{
+		{"request", string(e.Request)},
+		{"attempt", string(e.Attempt)},
+		{"endpoint", string(e.Endpoint)},
+		{"incarnation", string(e.Incarnation)},
+		{"duty", e.Duty},
+	} {
+		if f.value != "" {
+			entry = entry.Str(f.name, f.value)
+		}
+	}
+	entry.Str("event", string(e.Kind)).Msg(e.Detail)
+}
+
+func level(e Event) zerolog.Level {
+	kind := string(e.Kind)
+	switch {
+	case strings.HasSuffix(kind, ".broken"), strings.HasSuffix(kind, ".unknown"):
+		return zerolog.WarnLevel
+	case e.Request != "" || e.Attempt != "":
+		return zerolog.DebugLevel
+	}
+	return zerolog.InfoLevel
+}
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -34,7 +34,7 @@
 	n.pool = link.NewPool(s.config.Link, func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
 	mux := transport.NewMux(peer.NewCaller(n.pool), s.metrics)
 	var err error
-	handler := peer.NewServer(mux.Handle, s.events)
+	handler := peer.NewServer(mux.Handle, s.selectEvents)
 	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), s.config.Link, handler)
 	if err != nil {
 		return err
@@ -44,14 +44,14 @@
 	}
 	n.spreader, err = spread.New(spread.Options{
 		Config: spread.Default(), Zone: s.config.Zone, Store: s.deps.Store, Applier: s.holder,
-		Peers: n.members, Caller: mux.Caller(transport.Configuration), Recorder: s.deps.Ring, Seed: rand.Uint64(),
+		Peers: n.members, Caller: mux.Caller(transport.Configuration), Recorder: s.events, Seed: rand.Uint64(),
 	})
 	if err != nil {
 		return err
 	}
 	n.hosts = hosts.New(hosts.DefaultConfig(), hosts.Deps{
 		Store: s.deps.Store, Members: n.members, Caller: mux.Caller(transport.Duties),
-		Recorder: s.deps.Ring, Leaving: s.setLeaving,
+		Recorder: s.events, Leaving: s.setLeaving,
 	})
 	mux.Register(transport.Membership, n.members.Handle)
 	mux.Register(transport.Configuration, n.spreader.Handle)
@@ -78,7 +78,7 @@
 }
 
 func (s *Server) memberChanged(c member.Change) {
-	s.deps.Ring.Record(timeline.Event{
+	s.events.Record(timeline.Event{
 		Kind: "host." + timeline.Kind(c.Peer.State.String()), Detail: string(c.Peer.Host),
 	})
 }
@@ -92,8 +92,8 @@
 // maxEvents bounds the events of one answer.
 const maxEvents = 5000
 
-// events answers a question for the time line of this process.
-func (s *Server) events(o *msg.EventsOrder) *msg.Events {
+// selectEvents answers a question for the time line of this process.
+func (s *Server) selectEvents(o *msg.EventsOrder) *msg.Events {
 	return &msg.Events{Process: string(s.config.Host), Events: timeline.Select(s.deps.Ring, timeline.Filter{
 		Since: o.Since, Request: o.Request, Endpoint: o.Endpoint, Kind: timeline.Kind(o.Kind), Limit: min(o.Limit, maxEvents),
 	})}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -43,6 +43,7 @@
 	deps    Deps
 	metrics *metrics.Set
 
+	events    timeline.Recorder
 	holder    *spread.Holder
 	node      node
 	pool      *link.Pool
@@ -69,6 +70,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
+	s.events = timeline.Logged{Ring: d.Ring, Log: d.Log}
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	prefixes := prefix.NewIndex(prefix.Config{})
 	s.table = route.NewTable(route.Config{Prefixes: prefixes})
@@ -80,7 +82,7 @@
 	endpointConfig := c.Endpoints
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
-	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, d.Ring)
+	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 	})
@@ -96,7 +98,7 @@
 func (s *Server) newCallerServer(picker route.Picker) *http.Server {
 	dispatcher := dispatch.New(s.config.Dispatch, dispatch.Deps{
 		Zone: s.config.Zone, Picker: picker, Table: s.table, Budget: retry.NewBudget(retry.Config{}),
-		Directory: s.endpoints, Pool: s.pool, Recorder: s.deps.Ring,
+		Directory: s.endpoints, Pool: s.pool, Recorder: s.events,
 	})
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
@@ -106,7 +108,7 @@
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
 			Claimer: actions.NewKeyClaimer(s.claims),
 		}),
-		Recorder: s.deps.Ring,
+		Recorder: s.events,
 		Metrics:  caller.NewMetrics(s.metrics),
 	})
 	return &http.Server{
@@ -168,7 +170,7 @@
 // first, they are cut off, and each is told what is known of its outcome.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
-	s.deps.Ring.Record(timeline.Event{Kind: "entry.stopping"})
+	s.events.Record(timeline.Event{Kind: "entry.stopping"})
 	s.node.members.Leave()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
--- a/lab/measure/path.go
+++ b/lab/measure/path.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/siskinford/siskinford/entry/problem"
 	"github.com/siskinford/siskinford/lab/procs"
 )
 
@@ -96,6 +97,8 @@
 	BaselineRate Throughput `json:"baseline_throughput"`
 	// Ratio is the product's tokens per second of processor time over the baseline's.
 	Ratio float64 `json:"ratio"`
+	// BaselineBroken counts answers that the reverse proxy did not complete.
+	BaselineBroken int64 `json:"baseline_broken"`
 }
 
 func (r PathResult) print(w io.Writer) {
@@ -143,6 +146,8 @@
 type way struct {
 	url  string
 	body func(tokens int) string
+	// broken counts answers that ended early. Only the baseline may break some.
+	broken *atomic.Int64
 }
 
 func (c *Path) open(ctx context.Context, b procs.Binaries, step time.Duration) (*ways, error) {
@@ -167,7 +172,7 @@
 		return nil, err
 	}
 	w.direct = way{url: engine + "/v1/completions", body: completionBody}
-	w.plain = way{url: proxyURL + "/v1/completions", body: completionBody}
+	w.plain = way{url: proxyURL + "/v1/completions", body: completionBody, broken: new(atomic.Int64)}
 	w.product = way{url: cluster.Entries[0].URL + "/v1/chat/completions", body: chatBody}
 	return w, nil
 }
@@ -212,6 +217,7 @@
 	r.Proxy = quantiles(histograms[&w.plain])
 	r.Product = quantiles(histograms[&w.product])
 	r.AddedP99 = r.Product.P99 - r.Direct.P99
+	r.BaselineBroken = w.plain.broken.Load()
 	return nil
 }
 
@@ -239,7 +245,12 @@
 		body, _ := io.ReadAll(response.Body)
 		return 0, errors.Newf("%s answered status %d: %s", w.url, response.StatusCode, body)
 	}
-	return countEvents(response.Body)
+	n, err := countEvents(response.Body)
+	if err != nil && w.broken != nil {
+		w.broken.Add(1)
+		return n, nil
+	}
+	return n, errors.Wrapf(err, "answer of %s, request %s", w.url, response.Header.Get(problem.HeaderRequest))
 }
 
 func countEvents(r io.Reader) (int64, error) {
@@ -270,13 +281,14 @@
 	var profiling sync.WaitGroup
 	c.profile(ctx, &profiling, w.cluster)
 	if r.ProductRate, err = c.load(ctx, &w.product, entry, agent); err != nil {
-		return err
+		return errors.Wrapf(err, "entry printed %s, agent printed %s", entry.Output(), agent.Output())
 	}
 	profiling.Wait()
 	after, err := entry.CPU()
 	if err != nil {
 		return err
 	}
+	r.BaselineBroken += w.plain.broken.Load()
 	r.EntryShare = float64(after-before) / float64(r.ProductRate.CPU)
 	r.Ratio = r.ProductRate.PerCPUSecond / r.BaselineRate.PerCPUSecond
 	return nil
