--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -25,6 +25,8 @@
 	Slots int
 	// MaxQueue bounds the attempts that wait for a slot. Default: 1,024.
 	MaxQueue int
+	// QueuePolicy is the order in which waiting attempts start. Default: short-first.
+	QueuePolicy QueuePolicy
 	// TicketLifetime is how long a ticket may be used. It must not exceed the
 	// ledger's retention of actions. Default: 15 min.
 	TicketLifetime time.Duration
@@ -45,6 +47,7 @@
 		OperatorListen: "127.0.0.1:0",
 		Slots:          16,
 		MaxQueue:       1024,
+		QueuePolicy:    ShortFirst,
 		TicketLifetime: 15 * time.Minute,
 		ReportInterval: 250 * time.Millisecond,
 		EnginePoll:     100 * time.Millisecond,
@@ -68,6 +71,9 @@
 	if c.MaxQueue < 0 {
 		l.Addf("max-queue", "%d is negative", c.MaxQueue)
 	}
+	if c.QueuePolicy != ShortFirst && c.QueuePolicy != FirstInFirstOut {
+		l.Addf("queue-policy", "%q is neither %q nor %q", c.QueuePolicy, ShortFirst, FirstInFirstOut)
+	}
 	if c.TicketLifetime <= 0 {
 		l.Addf("ticket-lifetime", "duration %v is not positive", c.TicketLifetime)
 	}
--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/ledger"
 	"github.com/siskinford/siskinford/agent/plain"
+	"github.com/siskinford/siskinford/agent/queue"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/keys"
@@ -57,7 +59,8 @@
 
 	// mu is taken before the ledger's lock.
 	mu       sync.Mutex
-	queue    fifo
+	queue    queue.Queue
+	waiting  map[id.Attempt]*msg.Dispatch
 	running  map[id.Attempt]*run
 	draining bool
 	drainSet uint64 // version of the last obeyed DrainOrder
@@ -69,8 +72,21 @@
 
 // run is one attempt that was handed to the back end.
 type run struct {
-	item   item
-	cancel context.CancelFunc
+	dispatch *msg.Dispatch
+	cancel   context.CancelFunc
+	produced atomic.Uint32 // tokens
+	paused   bool          // guarded by Agent.mu
+	// orders is closed when the last order to pause or resume was carried out.
+	orders chan struct{}
+}
+
+// remaining returns the predicted number of tokens left.
+func (r *run) remaining() uint32 {
+	produced := r.produced.Load()
+	if produced >= r.dispatch.Work {
+		return 1
+	}
+	return r.dispatch.Work - produced
 }
 
 // New returns an agent with a new incarnation. Start must be called to serve.
@@ -93,6 +109,8 @@
 		now:         now,
 		ctx:         ctx,
 		cancel:      cancel,
+		queue:       newQueue(c),
+		waiting:     make(map[id.Attempt]*msg.Dispatch),
 		running:     make(map[id.Attempt]*run),
 	}
 	a.reports.init(a)
@@ -209,7 +227,7 @@
 			return
 		case <-ticker.C:
 		}
-		a.dispatchQueued()
+		a.reschedule()
 		if a.now().Sub(lastExpire) > time.Second {
 			lastExpire = a.now()
 			for _, attempt := range a.ledger.Expire() {
--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -90,8 +90,7 @@
 	}
 	admission, refusal := a.ledger.Admit(attempt, to)
 	if admission == ledger.AdmittedNew {
-		a.queue.push(newItem(d, a.now()))
-		a.startQueued()
+		return a.enqueue(d)
 	}
 	return refusal
 }
@@ -107,8 +106,8 @@
 	switch {
 	case a.refusesNew():
 		refusal = &msg.Refusal{Code: msg.CodeDraining, Detail: "the endpoint takes no new work"}
-	case a.queue.len() >= a.config.MaxQueue:
-		refusal = &msg.Refusal{Code: msg.CodeQueueFull, Detail: fmt.Sprintf("%d attempts wait", a.queue.len())}
+	case a.queue.Len() >= a.config.MaxQueue:
+		refusal = &msg.Refusal{Code: msg.CodeQueueFull, Detail: fmt.Sprintf("%d attempts wait", a.queue.Len())}
 	default:
 		return nil
 	}
@@ -169,7 +168,8 @@
 		return &known
 	}
 	a.mu.Lock()
-	a.queue.remove(o.Attempt)
+	a.queue.Remove(o.Attempt)
+	delete(a.waiting, o.Attempt)
 	a.mu.Unlock()
 	refusal := msg.Refusal{Code: msg.CodeWithdrawn, Detail: "the attempt was withdrawn"}
 	if a.ledger.Refuse(o.Attempt, refusal) {
--- a/agent/gate/report.go
+++ b/agent/gate/report.go
@@ -180,15 +180,15 @@
 		Endpoint:    a.config.Endpoint,
 		Incarnation: a.incarnation,
 		Draining:    a.refusesNew(),
-		Queued:      uint32(a.queue.len()),
+		Queued:      uint32(a.queue.Len()),
 		Running:     uint32(len(a.running)),
 		Slots:       uint32(a.config.Slots),
 	}
-	for _, it := range a.queue.items {
-		report.QueuedTokens += uint64(it.dispatch.Work)
+	for _, d := range a.waiting {
+		report.QueuedTokens += uint64(d.Work)
 	}
-	for _, run := range a.running {
-		report.RunningTokens += uint64(run.item.dispatch.Work)
+	for _, r := range a.running {
+		report.RunningTokens += uint64(r.remaining())
 	}
 	return report
 }
--- a/agent/gate/run.go
+++ b/agent/gate/run.go
@@ -15,49 +15,18 @@
 	"github.com/siskinford/siskinford/wire/msg"
 )
 
-// dispatchQueued refuses attempts past their deadline and starts others in free slots.
-func (a *Agent) dispatchQueued() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.startQueued()
-}
-
-// startQueued starts attempts while slots are free. The caller holds a.mu.
-func (a *Agent) startQueued() {
-	now := a.now()
-	for _, it := range a.queue.expired(now) {
-		a.refuseQueued(it, msg.CodeDeadline, "the attempt did not start in time")
-	}
-	for len(a.running) < a.config.Slots {
-		it, ok := a.queue.next()
-		if !ok {
-			return
-		}
-		if !a.ledger.Start(it.dispatch.Attempt) {
-			continue
-		}
-		a.launch(it)
-	}
-}
-
-func (a *Agent) refuseQueued(it item, code msg.Code, detail string) {
-	d := it.dispatch
-	if a.ledger.Refuse(d.Attempt, msg.Refusal{Code: code, Detail: detail}) {
-		a.record(timeline.Event{Kind: "attempt.refused", Request: d.Request, Attempt: d.Attempt, Detail: string(code)})
-	}
-}
-
 // launch runs a started attempt on its own goroutine. The caller holds a.mu.
-func (a *Agent) launch(it item) {
-	ctx, cancel := a.runContext(it.dispatch)
-	a.running[it.dispatch.Attempt] = &run{item: it, cancel: cancel}
+func (a *Agent) launch(d *msg.Dispatch) {
+	ctx, cancel := a.runContext(d)
+	r := &run{dispatch: d, cancel: cancel}
+	a.running[d.Attempt] = r
 	a.wg.Go(func() {
 		defer cancel()
-		a.execute(ctx, it.dispatch)
+		a.execute(ctx, r)
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		delete(a.running, it.dispatch.Attempt)
-		a.startQueued()
+		delete(a.running, d.Attempt)
+		a.schedule()
 	})
 }
 
@@ -77,12 +46,13 @@
 }
 
 // execute hands an attempt to the back end and records its answer.
-func (a *Agent) execute(ctx context.Context, d *msg.Dispatch) {
+func (a *Agent) execute(ctx context.Context, r *run) {
+	d := r.dispatch
 	a.record(timeline.Event{Kind: "attempt.started", Request: d.Request, Attempt: d.Attempt})
 	var end msg.End
 	var err error
 	if d.Chat != nil {
-		end, err = a.runChat(ctx, d)
+		end, err = a.runChat(ctx, r)
 	} else {
 		err = a.runPlain(ctx, d)
 	}
@@ -100,7 +70,8 @@
 	a.record(timeline.Event{Kind: "attempt.done", Request: d.Request, Attempt: d.Attempt, Detail: string(end.Outcome)})
 }
 
-func (a *Agent) runChat(ctx context.Context, d *msg.Dispatch) (msg.End, error) {
+func (a *Agent) runChat(ctx context.Context, r *run) (msg.End, error) {
+	d := r.dispatch
 	request := engine.Request{
 		Attempt: d.Attempt, Model: d.Chat.Model, Prompt: d.Chat.Prompt, MaxTokens: d.Chat.MaxTokens,
 	}
@@ -108,6 +79,7 @@
 		request.Priority = 1
 	}
 	usage, err := a.deps.Engine.Run(ctx, request, func(t engine.Token) error {
+		r.produced.Add(1)
 		a.ledger.Append(d.Attempt, msg.Frame{Data: []byte(t.Text), Tokens: 1})
 		return ctx.Err()
 	})
--- a/agent/gate/settings.go
+++ b/agent/gate/settings.go
@@ -10,6 +10,7 @@
 	s.Address(&c.OperatorListen, "operator-listen", "TCP address for operators")
 	s.Int(&c.Slots, "slots", "attempts", "Attempts that run at the same time")
 	s.Int(&c.MaxQueue, "max-queue", "attempts", "Attempts that may wait for a slot")
+	settings.Text(s, &c.QueuePolicy, "queue-policy", "Order in which waiting attempts start: short-first or fifo")
 	s.Duration(&c.TicketLifetime, "ticket-lifetime", "Time for which a ticket may be used")
 	s.Duration(&c.ReportInterval, "report-interval", "Shortest time between load reports to one entry")
 	s.Duration(&c.EnginePoll, "engine-poll", "Time between readings of the engine's load")
