Claims are routed to the process with the duty for their shard

Cause: several processes that append to the same segments conflict.

The claimant's nonce goes with the claim, so that a claim whose answer was lost is recognized on the second way. Fewer shards by default share more claims in a write.

--- a/fleet/claim/bench_test.go
+++ b/fleet/claim/bench_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/platform"
 	"github.com/siskinford/siskinford/fleet/platform/memstore"
@@ -48,6 +49,7 @@
 		{"4-processes-1-shard", func(b *testing.B, s *latentStore) claimOnce { return batched(b, s, 4, 1) }},
 		{"4-processes-4-shards", func(b *testing.B, s *latentStore) claimOnce { return batched(b, s, 4, 4) }},
 		{"4-processes-16-shards", func(b *testing.B, s *latentStore) claimOnce { return batched(b, s, 4, 16) }},
+		{"4-processes-4-shards-routed", routed},
 		{"baseline", baseline},
 	}
 	for _, way := range ways {
@@ -66,15 +68,44 @@
 func batched(b *testing.B, store *latentStore, processes, shards int) claimOnce {
 	var claimers []*claim.Claimer
 	for range processes {
-		c, err := claim.New(claim.Config{Store: store, Shards: shards, Timeout: time.Minute})
-		assert.NilError(b, err)
-		b.Cleanup(c.Close)
-		claimers = append(claimers, c)
+		claimers = append(claimers, benchClaimer(b, store, shards))
 	}
 	var next atomic.Int64
 	return func(r claim.Request) error {
-		c := claimers[int(next.Add(1))%processes]
-		_, err := c.Claim(context.Background(), r)
+		_, err := claimers[int(next.Add(1))%processes].Claim(context.Background(), r)
+		return err
+	}
+}
+
+func benchClaimer(b *testing.B, store *latentStore, shards int) *claim.Claimer {
+	c, err := claim.New(claim.Config{Store: store, Shards: shards, Timeout: time.Minute})
+	assert.NilError(b, err)
+	b.Cleanup(c.Close)
+	return c
+}
+
+// direct forwards to Claimers in this process.
+type direct map[id.Host]*claim.Claimer
+
+func (d direct) Forward(ctx context.Context, host id.Host, r claim.Request) (claim.Result, error) {
+	return d[host].Claim(ctx, r)
+}
+
+// routed spreads the claims over processes that pass them to the one with the duty.
+func routed(b *testing.B, store *latentStore) claimOnce {
+	hosts := []id.Host{"entry-0", "entry-1", "entry-2", "entry-3"}
+	claimers := direct{}
+	var routers []*claim.Router
+	for _, host := range hosts {
+		claimers[host] = benchClaimer(b, store, 4)
+		routers = append(routers, &claim.Router{
+			Local: claimers[host], Self: host, Hosts: func() []id.Host { return hosts },
+			Forwarder: claimers, ForwardTimeout: time.Minute,
+		})
+	}
+	var next atomic.Int64
+	return func(r claim.Request) error {
+		_, err := routers[int(next.Add(1))%len(routers)].Claim(context.Background(), r)
 		return err
 	}
 }
--- a/fleet/claim/claim.go
+++ b/fleet/claim/claim.go
@@ -30,7 +30,7 @@
 type Config struct {
 	// Store is the platform. Required.
 	Store platform.Store
-	// Shards is the number of shards, the same in all processes for good. Default: 16.
+	// Shards is the number of shards, the same in all processes for good. Default: 4.
 	Shards int
 	// Retention is the age at which a key expires. Default: 1 h.
 	Retention time.Duration
@@ -52,7 +52,7 @@
 }
 
 const (
-	defaultShards       = 16
+	defaultShards       = 4
 	maxShards           = 1 << 12
 	defaultRetention    = time.Hour
 	defaultMaxSkew      = 10 * time.Second
@@ -159,12 +159,16 @@
 	Payload Hash
 	// Target is where the claimant would run the action.
 	Target Target
+	// Nonce identifies the claimant. One call that tries again, also through
+	// another process, keeps its nonce and so recognizes its own claim. Two calls
+	// must not share one. Zero is replaced by a random number.
+	Nonce uint64
 }
 
 // Result is the committed claim of a key.
 type Result struct {
 	Record Record
-	// Mine is true if this very call committed the claim. Only then may the
+	// Mine is true if the claim is that of the request's nonce. Only then may the
 	// caller dispatch the action; otherwise it reattaches to the record's target.
 	Mine bool
 }
@@ -177,10 +181,16 @@
 	if err := c.checkTime(r.Key); err != nil {
 		return Result{}, err
 	}
-	p := &pending{request: r, hash: HashKey(r.Team, r.Service, r.Key), nonce: rand.Uint64(), done: make(chan answer, 1)}
+	if r.Nonce == 0 {
+		r.Nonce = NewNonce()
+	}
+	p := &pending{request: r, hash: HashKey(r.Team, r.Service, r.Key), done: make(chan answer, 1)}
 	return c.submit(ctx, p)
 }
 
+// NewNonce returns a random number for a Request.
+func NewNonce() uint64 { return rand.Uint64() }
+
 // Lookup returns the claim of a key, if there is one. It blocks for at most
 // Timeout. The error is as for Claim, or a *NotClaimedError.
 func (c *Claimer) Lookup(ctx context.Context, team id.Team, service id.Service, key Key) (Record, error) {
@@ -194,7 +204,7 @@
 }
 
 func (c *Claimer) submit(ctx context.Context, p *pending) (Result, error) {
-	s := c.shards[binary.BigEndian.Uint64(p.hash[:])%uint64(len(c.shards))]
+	s := c.shards[c.shardOf(p.hash)]
 	if err := s.enqueue(p); err != nil {
 		return Result{}, err
 	}
@@ -210,6 +220,10 @@
 	}
 }
 
+func (c *Claimer) shardOf(h Hash) int {
+	return int(binary.BigEndian.Uint64(h[:]) % uint64(len(c.shards)))
+}
+
 // checkTime refuses a key that is expired or from the future.
 func (c *Claimer) checkTime(k Key) error {
 	now := c.cfg.Now()
--- a/fleet/claim/shard.go
+++ b/fleet/claim/shard.go
@@ -14,7 +14,6 @@
 type pending struct {
 	request Request
 	hash    Hash
-	nonce   uint64
 	lookup  bool
 	// done receives the answer. It has room for one.
 	done chan answer
@@ -227,7 +226,7 @@
 	case r.Payload != p.request.Payload:
 		s.answer(p, Result{}, &PayloadMismatchError{Key: p.request.Key, Record: r})
 	default:
-		s.answer(p, Result{Record: r, Mine: r.Nonce == p.nonce}, nil)
+		s.answer(p, Result{Record: r, Mine: r.Nonce == p.request.Nonce}, nil)
 	}
 }
 
@@ -294,7 +293,7 @@
 func (p *pending) record(now time.Time) Record {
 	return Record{
 		Hash: p.hash, Action: p.hash.Action(), Payload: p.request.Payload,
-		Target: p.request.Target, ClaimedAt: now, Nonce: p.nonce,
+		Target: p.request.Target, ClaimedAt: now, Nonce: p.request.Nonce,
 	}
 }
 
