lab/engine: replaced ranks, cut streams on close, one attempt's witness; cheaper stream reading

Cause: a rank that replaced a dead one slept on, because its group was active already and woke nobody (found by TestDeadRankStallsTheGroupUntilItIsReplaced, which timed out before the change); Close left streams of replaced attempt IDs hanging; decoding every chunk as JSON took most of the client's time.

Change: the step loop asks the group at its start; a registered engine takes over the group's step; Close cuts every stream. The stream reader decodes one chunk, verifies its form with a probe and reads later chunks of that form without decoding.

Conclusion: go test -race ./agent/engine ./lab/... passes.

--- a/agent/engine/protocol.go
+++ b/agent/engine/protocol.go
@@ -53,6 +53,11 @@
 	Usage   *CompletionUsage `json:"usage,omitempty"`
 }
 
+// isText reports whether the chunk carries the text of one choice and nothing else.
+func (c Chunk) isText() bool {
+	return len(c.Choices) == 1 && c.Choices[0].FinishReason == "" && c.Usage == nil
+}
+
 // ErrorBody is the body of an answer with an error status.
 type ErrorBody struct {
 	Error string `json:"error"`
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -15,6 +15,7 @@
 	emit     func(Token) error
 	usage    Usage
 	finished bool
+	form     chunkForm
 }
 
 // readStream emits the tokens of a stream. Only a stream with a finish reason
@@ -44,9 +45,21 @@
 	if string(data) == StreamEnd {
 		return true, s.result()
 	}
+	if text, ok := s.form.text(data); ok {
+		return false, s.text(string(text))
+	}
+	return false, s.decode(data)
+}
+
+// decode handles a chunk of any form.
+func (s *streamReader) decode(data []byte) error {
 	var chunk Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return false, incomplete(err)
+		return incomplete(err)
+	}
+	s.form = chunkForm{}
+	if chunk.isText() {
+		s.form.learn(data, chunk.Choices[0].Text)
 	}
 	if chunk.Usage != nil {
 		s.usage.PromptTokens = chunk.Usage.PromptTokens
@@ -55,10 +68,10 @@
 	}
 	for _, choice := range chunk.Choices {
 		if err := s.choice(choice); err != nil {
-			return false, err
+			return err
 		}
 	}
-	return false, nil
+	return nil
 }
 
 func (s *streamReader) choice(c Choice) error {
@@ -66,10 +79,14 @@
 		s.finished = true
 		s.usage.FinishReason = c.FinishReason
 	}
-	if c.Text == "" {
+	return s.text(c.Text)
+}
+
+func (s *streamReader) text(text string) error {
+	if text == "" {
 		return nil
 	}
-	return s.emit(Token{Text: c.Text})
+	return s.emit(Token{Text: text})
 }
 
 func (s *streamReader) result() error {
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -77,7 +77,7 @@
 		e.state.Models[c.Model] = ""
 	}
 	if c.Group != nil {
-		c.Group.register(c.Rank, e)
+		e.state.Step = c.Group.register(c.Rank, e)
 	}
 	return e
 }
@@ -87,17 +87,10 @@
 	e.loops.Go(e.loop)
 }
 
-// Close ends the step loop and cancels all sequences.
+// Close ends the step loop and cuts all streams.
 func (e *Engine) Close() {
 	e.cancel()
 	e.loops.Wait()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range e.attempts {
-		s.set(statusCancelled)
-	}
-	clear(e.attempts)
-	e.running, e.waiting = nil, nil
 }
 
 func (e *Engine) notify() {
@@ -178,6 +171,16 @@
 	return runs
 }
 
+// Run returns the witness of one attempt.
+func (e *Engine) Run(attempt id.Attempt) Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if run, ok := e.runs[attempt]; ok {
+		return *run
+	}
+	return Run{}
+}
+
 // drop takes a sequence out of the engine. e.mu must be held.
 func (e *Engine) drop(s *sequence, to status) {
 	e.detach(s)
--- a/lab/engine/group.go
+++ b/lab/engine/group.go
@@ -51,10 +51,17 @@
 	return &barrier{present: make([]bool, g.size), versions: make([]uint64, g.size), open: make(chan struct{})}
 }
 
-func (g *Group) register(rank int, e *Engine) {
+// register puts an engine in the place of a rank and returns its first step. A
+// former engine of that rank that joined this step has not taken part in it.
+func (g *Group) register(rank int, e *Engine) uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.engines[rank] = e
+	if g.barrier.present[rank] {
+		g.barrier.present[rank] = false
+		g.barrier.joined--
+	}
+	return g.step + 1
 }
 
 func (g *Group) isActive() bool {
--- a/lab/engine/group_test.go
+++ b/lab/engine/group_test.go
@@ -51,13 +51,30 @@
 	group, setups := startGroup(t, engine.Config{})
 	setups[3].engine.SetFaults(engine.Faults{Stall: true})
 	done := setups[0].background(client.Request{Attempt: "att_1", Prompt: "x", MaxTokens: 5})
-	setups[0].await(t, "admission", func() bool { return setups[0].engine.Runs()["att_1"].Accepted == 1 })
+	setups[0].await(t, "admission", func() bool { return setups[0].engine.Run("att_1").Accepted == 1 })
 	assert.Equal(t, len(group.Steps()), 0)
-	assert.Equal(t, setups[0].engine.Runs()["att_1"].Tokens, 0)
+	assert.Equal(t, setups[0].engine.Run("att_1").Tokens, 0)
 	setups[3].engine.SetFaults(engine.Faults{})
 	assert.NilError(t, (<-done).err)
 }
 
+func TestDeadRankStallsTheGroupUntilItIsReplaced(t *testing.T) {
+	group, setups := startGroup(t, engine.Config{})
+	assert.NilError(t, setups[0].run(client.Request{Attempt: "att_1", Prompt: "x", MaxTokens: 5}).err)
+	setups[2].engine.Close()
+	before := len(group.Steps())
+	done := setups[0].background(client.Request{Attempt: "att_2", Prompt: "x", MaxTokens: 5})
+	setups[0].await(t, "admission", func() bool { return setups[0].engine.Run("att_2").Accepted == 1 })
+	assert.Assert(t, len(group.Steps()) <= before+1, "the dead rank may have joined one step")
+	assert.Equal(t, setups[0].engine.Run("att_2").Finished, 0)
+
+	replacement := start(t, engine.Config{Group: group, Rank: 2})
+	assert.NilError(t, (<-done).err)
+	setups[0].await(t, "the same step", func() bool {
+		return replacement.engine.State().Step == setups[0].engine.State().Step
+	})
+}
+
 func TestGatedRanksNeedPermits(t *testing.T) {
 	group, setups := startGroup(t, engine.Config{Gated: true})
 	done := setups[0].background(client.Request{Attempt: "att_1", Prompt: "x", MaxTokens: 20})
@@ -69,7 +86,7 @@
 	}
 	permit(1, 5, 7)
 	setups[0].await(t, "five steps", func() bool { return len(group.Steps()) == 5 })
-	assert.Equal(t, setups[0].engine.Runs()["att_1"].Finished, 0)
+	assert.Equal(t, setups[0].engine.Run("att_1").Finished, 0)
 	permit(6, 1000, 8)
 	assert.NilError(t, (<-done).err)
 	assert.Equal(t, len(group.SplitSteps()), 0)
--- a/lab/engine/http.go
+++ b/lab/engine/http.go
@@ -29,6 +29,9 @@
 
 func (e *Engine) labRoutes(r chi.Router) {
 	r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Runs()) })
+	r.Get("/runs/{attempt}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, e.Run(id.Attempt(chi.URLParam(r, "attempt"))))
+	})
 	r.Get("/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Faults()) })
 	r.Put("/faults", e.serveSetFaults)
 	r.Post("/cache/clear", func(w http.ResponseWriter, _ *http.Request) {
--- a/lab/engine/step.go
+++ b/lab/engine/step.go
@@ -4,13 +4,13 @@
 
 // loop runs steps while there is work and sleeps otherwise.
 func (e *Engine) loop() {
-	groupActive := false
+	groupActive := e.groupActive()
 	for e.ctx.Err() == nil {
 		if !e.runnable(groupActive) {
 			if !e.sleep() {
 				return
 			}
-			groupActive = e.config.Group != nil && e.config.Group.isActive()
+			groupActive = e.groupActive()
 			continue
 		}
 		busy, version := e.beginStep()
@@ -28,6 +28,11 @@
 	}
 }
 
+// groupActive reports whether another rank has work.
+func (e *Engine) groupActive() bool {
+	return e.config.Group != nil && e.config.Group.isActive()
+}
+
 // sleep blocks until the engine is notified. It returns false once it is closed.
 func (e *Engine) sleep() bool {
 	select {
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -52,6 +52,8 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-e.ctx.Done():
+			panic(http.ErrAbortHandler)
 		case <-s.ready:
 		}
 		// The status is read before the count, so that no token is missed at the end.
@@ -151,6 +153,8 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-e.ctx.Done():
+			panic(http.ErrAbortHandler)
 		case <-s.ready:
 		}
 		state := s.state()
--- a/lab/plainservice/plainservice.go
+++ b/lab/plainservice/plainservice.go
@@ -115,6 +115,12 @@
 	r.Get("/tags/{id}", s.run(s.tag))
 	r.Get("/stock/{id}", s.run(s.stock))
 	r.Get("/lab/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
+	r.Get("/lab/tags/{id}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, s.Tags(chi.URLParam(r, "id")))
+	})
+	r.Get("/lab/reservations/{id}", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusOK, s.Reservations(chi.URLParam(r, "id")))
+	})
 	r.Put("/lab/faults", s.serveSetFaults)
 	return r
 }
