--- a/agent/oneshot/oneshot.go
+++ b/agent/oneshot/oneshot.go
@@ -33,7 +33,7 @@
 	// MaxIdleConns bounds the idle connections that are kept. A negative value
 	// keeps none, so that each request uses a fresh connection.
 	MaxIdleConns int
-	// MaxHeaderBytes bounds the header of an answer. Default 1 MiB.
+	// MaxHeaderBytes bounds the header of an answer. Default as in net/http.
 	MaxHeaderBytes int64
 }
 
--- a/agent/plain/plain_test.go
+++ b/agent/plain/plain_test.go
@@ -112,11 +112,14 @@
 
 func TestAnswerBeyondItsBoundIsAnError(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Long", r.URL.Query().Get("header"))
 		_, _ = w.Write(make([]byte, 10+len(r.URL.Query().Get("more"))))
 	}))
 	defer server.Close()
 	client := newClient(t, plain.Config{URL: server.URL, MaxAnswerBytes: 10})
 	assert.NilError(t, client.Do(context.Background(), &msg.Plain{Method: "GET", Path: "/"}, &recorder{}))
+	long := "/?header=" + strings.Repeat("x", 70<<10)
+	assert.ErrorContains(t, client.Do(context.Background(), &msg.Plain{Method: "GET", Path: long}, &recorder{}), "header")
 	err := client.Do(context.Background(), &msg.Plain{Method: "GET", Path: "/?more=x"}, &recorder{})
 	var limit *plain.LimitError
 	assert.Assert(t, errors.As(err, &limit), "%v", err)
--- a/lab/engine/contract_test.go
+++ b/lab/engine/contract_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,6 +160,33 @@
 	assert.Assert(t, errors.As(err, &notStarted), "%v", err)
 }
 
+func TestConnectionsAreReused(t *testing.T) {
+	var opened atomic.Int64
+	e := engine.New(engine.Config{Fencing: true})
+	e.Start()
+	defer e.Close()
+	server := httptest.NewUnstartedServer(e.Handler())
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	h, err := client.NewHTTP(client.Config{URL: server.URL})
+	assert.NilError(t, err)
+	defer h.Close()
+	s := setup{engine: e, client: h, ctx: t.Context()}
+	for i := range 20 {
+		assert.NilError(t, s.run(client.Request{Attempt: id.NewAttempt(), Prompt: "x", MaxTokens: 100}).err)
+		_, err := h.Load(s.ctx)
+		assert.NilError(t, err)
+		assert.NilError(t, h.Order(s.ctx, client.Order{Kind: client.OrderRole, Epoch: uint64(100 + i)}))
+		assert.Assert(t, h.Order(s.ctx, client.Order{Kind: client.OrderRole, Epoch: 1}) != nil)
+	}
+	assert.Equal(t, opened.Load(), int64(1))
+}
+
 func TestClosedEngineCutsStreams(t *testing.T) {
 	s := start(t, engine.Config{StepTime: time.Millisecond, Slots: 1})
 	for i, attempt := range []id.Attempt{"att_same", "att_same", "att_paused"} {
