--- a/agent/engine/stream_test.go
+++ b/agent/engine/stream_test.go
@@ -43,6 +43,7 @@
 		{name: "no finish reason", stream: token("a") + end, tokens: []string{"a"}, err: ErrIncomplete},
 		{name: "broken chunk", stream: token("a") + event(`{"id":"att_1","choices":[{"index":0,"te`), tokens: []string{"a"}, err: ErrIncomplete},
 		{name: "control character", stream: token("a") + token("b\x01"), tokens: []string{"a"}, err: ErrIncomplete},
+		{name: "text of another type", stream: token("a") + event(`{"id":"att_1","choices":[{"index":0,"text":5}]}`) + event(lastChunk) + end, tokens: []string{"a"}, err: ErrIncomplete},
 		{name: "line too long", stream: token("a") + token(strings.Repeat("b", 500)), tokens: []string{"a"}, err: ErrIncomplete},
 		{name: "cancelled", stream: token("a") + event(`{"choices":[{"finish_reason":"cancelled"}]}`) + end, tokens: []string{"a"}, err: ErrCancelled},
 		{name: "empty", err: ErrIncomplete},
