agent/oneshot: a request that met a dead connection is known as not sent

Cause: once a connection had been chosen, every failure counted as possibly sent, also on an idle connection that the server had closed before anything was written. The outcome was then unknown although nothing could have run.

Change: connections count the bytes that the operating system took. After a failure the connection is sealed if nothing was or is being written since it was chosen; later writes of the transport's own goroutine are refused, so that the answer "not sent" stays true.

Ruled out: the transport's nothingWrittenError, which is not exported and says nothing of a write that follows a cancelled request.

TestNotSentOnReusedConnection passes also without the seal, since the window is narrow: it is no proof of it.

--- a/agent/oneshot/oneshot.go
+++ b/agent/oneshot/oneshot.go
@@ -7,7 +7,9 @@
 // if the request has no body or its body can be rewound by GetBody. The
 // standard client also sends a request again after a redirect. This package
 // gives each request a body without GetBody, follows no redirect, speaks only
-// HTTP/1, and reports whether a request can have been sent.
+// HTTP/1, and reports whether a request can have been sent: it counts the bytes
+// written to a connection, and refuses later writes before it says that there
+// was none.
 package oneshot
 
 import (
@@ -60,7 +62,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &Client{transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialSealed(dialer),
 		DisableCompression:     true,
 		DisableKeepAlives:      c.MaxIdleConns < 0,
 		MaxIdleConns:           max(c.MaxIdleConns, 0),
@@ -74,20 +76,30 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
+// use is the connection that the transport took for a request, and how much
+// was written to it before.
+type use struct {
+	conn     *sealedConn
+	position int64
+}
+
 // Do sends the request once and returns the answer, redirects included.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var used atomic.Pointer[use]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn := info.Conn.(*sealedConn)
+		used.Store(&use{conn: conn, position: conn.position()})
+	}}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	protect(r)
 	response, err := c.transport.RoundTrip(r)
 	if err == nil {
 		return response, nil
 	}
-	if !connected.Load() {
-		return nil, &notSentError{cause: err}
+	if u := used.Load(); u != nil && !u.conn.seal(u.position) {
+		return nil, err
 	}
-	return nil, err
+	return nil, &notSentError{cause: err}
 }
 
 // protect gives the request a body that the transport cannot rewind. An empty
--- a/agent/oneshot/oneshot_test.go
+++ b/agent/oneshot/oneshot_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,20 +18,24 @@
 	"github.com/siskinford/siskinford/agent/oneshot"
 )
 
+// notCut is no request's number.
+const notCut = 0
+
 // cutServer answers the first request and cuts its connection at the second
 // one. It counts the requests that reached it, whole or in part.
 type cutServer struct {
 	listener net.Listener
+	cutAt    int // request of the first connection
 	cut      func(conn net.Conn, reader *bufio.Reader)
 	seen     atomic.Int64
 	conns    sync.WaitGroup
 }
 
-func startCutServer(t *testing.T, cut func(net.Conn, *bufio.Reader)) *cutServer {
+func startCutServer(t *testing.T, cutAt int, cut func(net.Conn, *bufio.Reader)) *cutServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &cutServer{listener: listener, cut: cut}
+	s := &cutServer{listener: listener, cutAt: cutAt, cut: cut}
 	s.conns.Go(s.accept)
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -58,7 +63,7 @@
 			return
 		}
 		s.seen.Add(1)
-		if first && n == 2 {
+		if first && n == s.cutAt {
 			s.cut(conn, reader)
 			return
 		}
@@ -134,13 +139,13 @@
 				}
 				standard := &http.Transport{}
 				defer standard.CloseIdleConnections()
-				seen, err := sendTwice(t, startCutServer(t, cut), standard.RoundTrip, build)
+				seen, err := sendTwice(t, startCutServer(t, 2, cut), standard.RoundTrip, build)
 				assert.NilError(t, err)
 				assert.Equal(t, seen, int64(3), "the standard transport must replay, or this test shows nothing")
 
 				client := oneshot.New(oneshot.Config{DialTimeout: time.Second, MaxIdleConns: 4})
 				defer client.Close()
-				seen, err = sendTwice(t, startCutServer(t, cut), client.Do, build)
+				seen, err = sendTwice(t, startCutServer(t, 2, cut), client.Do, build)
 				assert.Equal(t, seen, int64(2), "the request was replayed")
 				assert.Assert(t, err != nil)
 				assert.Assert(t, !oneshot.NotSent(err))
@@ -167,12 +172,72 @@
 	assert.Assert(t, oneshot.NotSent(err), "%v", err)
 }
 
+// A request that fails between the choice of a connection and the first write
+// was not sent, and must not be sent afterwards.
+func TestNotSentOnReusedConnection(t *testing.T) {
+	const rounds = 200
+	faults := map[string]func(conn net.Conn, cancel func()){
+		"connection closed": func(conn net.Conn, _ func()) { _ = conn.Close() },
+		"request cancelled": func(_ net.Conn, cancel func()) { cancel() },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			server := startCutServer(t, notCut, cutAfterRead)
+			client := oneshot.New(oneshot.Config{DialTimeout: time.Second, MaxIdleConns: 4})
+			certain := int64(0)
+			for range rounds {
+				_, err := sendOnce(t, client, server, nil)
+				assert.NilError(t, err)
+				certain += countNotSent(t, client, server, fault)
+			}
+			client.Close()
+			_ = server.listener.Close()
+			server.conns.Wait()
+			sent := int64(rounds) + (rounds - certain)
+			assert.Assert(t, server.seen.Load() <= sent, "%d requests arrived, %d can have been sent", server.seen.Load(), sent)
+			if name == "connection closed" {
+				assert.Equal(t, certain, int64(rounds))
+			}
+		})
+	}
+}
+
+// sendOnce sends a request with a hook for the chosen connection.
+func sendOnce(t *testing.T, client *oneshot.Client, s *cutServer, gotConn func(net.Conn, func())) (*http.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if gotConn != nil {
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { gotConn(info.Conn, cancel) }}
+		ctx = httptrace.WithClientTrace(ctx, trace)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.listener.Addr().String()+"/tags", strings.NewReader("x"))
+	assert.NilError(t, err)
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.Check(t, err == nil || ctx.Err() != nil)
+	return response, response.Body.Close()
+}
+
+// countNotSent returns 1 if a request with a fault is certain not to have been sent.
+func countNotSent(t *testing.T, client *oneshot.Client, s *cutServer, fault func(net.Conn, func())) int64 {
+	t.Helper()
+	_, err := sendOnce(t, client, s, fault)
+	if oneshot.NotSent(err) {
+		return 1
+	}
+	return 0
+}
+
 func TestFollowsNoRedirect(t *testing.T) {
 	redirect := func(conn net.Conn, reader *bufio.Reader) {
 		_ = readRequest(reader)
 		_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n")
 	}
-	server := startCutServer(t, redirect)
+	server := startCutServer(t, 2, redirect)
 	client := oneshot.New(oneshot.Config{DialTimeout: time.Second, MaxIdleConns: 4})
 	defer client.Close()
 	seen, err := sendTwice(t, server, client.Do, func(url string) *http.Request {
