--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -3,20 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
-
-	"github.com/valyala/fastjson"
 )
 
 var dataPrefix = []byte("data:")
 
 // streamReader reads the server-sent events of one completion.
 type streamReader struct {
-	parser   fastjson.Parser
 	emit     func(Token) error
 	usage    Usage
 	finished bool
+	form     chunkForm
 }
 
 // readStream emits the tokens of a stream. Only a stream with a finish reason
@@ -46,33 +45,48 @@
 	if string(data) == StreamEnd {
 		return true, s.result()
 	}
-	chunk, err := s.parser.ParseBytes(data)
-	if err != nil {
-		return false, incomplete(err)
+	if text, ok := s.form.text(data); ok {
+		return false, s.text(string(text))
+	}
+	return false, s.decode(data)
+}
+
+// decode handles a chunk of any form.
+func (s *streamReader) decode(data []byte) error {
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return incomplete(err)
+	}
+	s.form = chunkForm{}
+	if chunk.isText() {
+		s.form.learn(data, chunk.Choices[0].Text)
 	}
-	if usage := chunk.Get("usage"); usage != nil && usage.Type() == fastjson.TypeObject {
-		s.usage.PromptTokens = usage.GetInt("prompt_tokens")
-		s.usage.AnswerTokens = usage.GetInt("completion_tokens")
-		s.usage.CachedTokens = usage.GetInt("cached_tokens")
+	if chunk.Usage != nil {
+		s.usage.PromptTokens = chunk.Usage.PromptTokens
+		s.usage.AnswerTokens = chunk.Usage.CompletionTokens
+		s.usage.CachedTokens = chunk.Usage.CachedTokens
 	}
-	for _, choice := range chunk.GetArray("choices") {
+	for _, choice := range chunk.Choices {
 		if err := s.choice(choice); err != nil {
-			return false, err
+			return err
 		}
 	}
-	return false, nil
+	return nil
 }
 
-func (s *streamReader) choice(c *fastjson.Value) error {
-	if reason := c.GetStringBytes("finish_reason"); len(reason) > 0 {
+func (s *streamReader) choice(c Choice) error {
+	if c.FinishReason != "" {
 		s.finished = true
-		s.usage.FinishReason = string(reason)
+		s.usage.FinishReason = c.FinishReason
 	}
-	text := c.GetStringBytes("text")
-	if len(text) == 0 {
+	return s.text(c.Text)
+}
+
+func (s *streamReader) text(text string) error {
+	if text == "" {
 		return nil
 	}
-	return s.emit(Token{Text: string(text)})
+	return s.emit(Token{Text: text})
 }
 
 func (s *streamReader) result() error {
