Outcomes of several tries, refusals and withdrawals are honest

Four answers claimed more than was known: - An idempotent request whose first try broke and whose second was refused, or found no endpoint, was told not-run although the first may have run. - A refusal of an unknown attempt said of the action that it never ran and never will, although only the attempt was tombstoned: the same key may run. - A withdrawn action said nothing of the action, and a withdrawal at an entry that shuts down had the code outcome-unknown with the outcome not-run. - A refusal of another attempt on the same order ended the wrong request.

Verdict.Outcome now tells of the action over all its attempts. Ruled out: to tombstone an action that the agent never saw, since a ticket older than the ledger's retention would then be called not-run.

Without the change (go test -race ./entry/dispatch): these cases fail: TestOutcomeAfterSeveralTries/broken,_then_refused, /broken,_then_no_other_endpoint, /refused,_then_broken, TestOutcomeOfRefusal/unknown-attempt, TestRefusalOfAnotherAttempt, TestWithdrawal/attempt_and_action_tombstoned, /only_the_attempt_tombstoned. With it all pass.

--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -174,7 +174,7 @@
 	refusal := msg.Refusal{Code: msg.CodeWithdrawn, Detail: "the attempt was withdrawn"}
 	if a.ledger.Refuse(o.Attempt, refusal) {
 		v.State = msg.StateTombstoned
-		v.Outcome = outcome.NotRun
+		v.Outcome = a.withdrawnOutcome(o)
 		return v
 	}
 	state, hasAction := a.ledger.State(o.Attempt)
@@ -185,6 +185,15 @@
 	return v
 }
 
+// withdrawnOutcome returns what is known of the action of a withdrawn attempt
+// over all its attempts. An action that is not recorded may still be tried again.
+func (a *Agent) withdrawnOutcome(o *msg.Withdraw) outcome.Outcome {
+	if o.Action == "" {
+		return outcome.NotRun
+	}
+	return a.ledger.Action(ledger.Key{Team: o.Team, Action: o.Action}).Outcome
+}
+
 func (a *Agent) issueTicket(o *msg.TicketOrder) *msg.Ticket {
 	a.mu.Lock()
 	refuses := a.refusesNew()
--- a/entry/dispatch/assembler.go
+++ b/entry/dispatch/assembler.go
@@ -38,6 +38,9 @@
 	return &assembler{attempt: attempt, adopt: adopt, digest: xxhash.New()}
 }
 
+// owns reports whether f belongs to the attempt.
+func (a *assembler) owns(f *msg.Frame) bool { return a.adopt || f.Attempt == a.attempt }
+
 // accept reports whether f is the next frame. Frames of other attempts and
 // duplicates are not. A missing frame is a *GapError, a wrong end a *ChecksumError.
 func (a *assembler) accept(f *msg.Frame) (bool, error) {
--- a/entry/dispatch/call.go
+++ b/entry/dispatch/call.go
@@ -65,6 +65,20 @@
 	Delivered bool
 }
 
+// after returns the result for a call of which an earlier attempt may have run.
+func (r Result) after(mayHaveRun bool) Result {
+	if !mayHaveRun || r.Outcome != outcome.NotRun {
+		return r
+	}
+	r.Outcome = outcome.Unknown
+	if r.Problem != nil {
+		p := *r.Problem
+		p.Outcome = outcome.Unknown
+		r.Problem = &p
+	}
+	return r
+}
+
 // Directory knows where endpoints are reached.
 type Directory interface {
 	// Address returns the UDP address of the endpoint's agent.
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -43,16 +43,19 @@
 func (d *Dispatcher) Run(ctx context.Context, c *Call, sink Sink) Result {
 	d.deps.Budget.FirstTry()
 	var exclude []id.Endpoint
+	mayHaveRun := false
 	for try := 1; ; try++ {
 		choice, err := d.choose(c, exclude)
 		if err != nil {
-			return Result{Outcome: outcome.NotRun, Problem: noEndpoint(err), Tries: try - 1}
+			r := Result{Outcome: outcome.NotRun, Problem: noEndpoint(err), Tries: try - 1}
+			return r.after(mayHaveRun)
 		}
-		r := d.try(ctx, c, choice, sink)
+		r := d.try(ctx, c, choice, sink).after(mayHaveRun)
 		r.Tries = try
 		if r.End != nil && r.Problem == nil {
 			return r
 		}
+		mayHaveRun = r.Outcome != outcome.NotRun
 		delay, again := d.mayRetry(ctx, c, r)
 		if !again {
 			return r
@@ -143,5 +146,5 @@
 	}
 }
 
-// errCallerLeft is the cause of attempts withdrawn because the caller closed its connection.
-var errCallerLeft = errors.New("the caller left")
+// errAbandoned is the cause of attempts withdrawn because nobody waits for their answer.
+var errAbandoned = errors.New("the caller left or the entry shuts down")
--- /dev/null
+++ b/entry/dispatch/dispatch_test.go
@@ -0,0 +1,326 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/balance/retry"
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func asAttempt(s string) id.Attempt { return id.Attempt(s) }
+
+// respond answers one order of a scripted agent. Order counts from zero.
+type respond func(s *link.Session, o *msg.Order, order int)
+
+// scripted is an agent that follows a script.
+type scripted struct {
+	respond respond
+
+	mu     sync.Mutex // leaf lock
+	orders []*msg.Order
+}
+
+func (a *scripted) Order(s *link.Session, o *msg.Order) {
+	a.mu.Lock()
+	n := len(a.orders)
+	a.orders = append(a.orders, o)
+	a.mu.Unlock()
+	a.respond(s, o, n)
+}
+
+func (a *scripted) Closed(*link.Session) {}
+
+func (a *scripted) Incarnation() id.Incarnation { return "inc" }
+
+// dispatches returns the number of dispatches that arrived.
+func (a *scripted) dispatches() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, o := range a.orders {
+		if o.Dispatch != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// inOrder picks the endpoints in order of their names.
+type inOrder struct{ endpoints []id.Endpoint }
+
+func (p inOrder) Pick(r route.Request) (route.Choice, error) {
+	for _, e := range p.endpoints {
+		excluded := false
+		for _, x := range r.Exclude {
+			excluded = excluded || x == e
+		}
+		if !excluded {
+			return route.Choice{Endpoint: e, Incarnation: "inc"}, nil
+		}
+	}
+	return route.Choice{}, &route.NoEndpointError{}
+}
+
+// addresses is a Directory.
+type addresses map[id.Endpoint]string
+
+func (a addresses) Address(e id.Endpoint) (string, bool) {
+	address, ok := a[e]
+	return address, ok
+}
+
+type noTable struct{}
+
+func (noTable) Started(route.Choice, time.Time)                {}
+func (noTable) Finished(route.Choice, time.Time)               {}
+func (noTable) Observe(route.Choice, time.Duration, time.Time) {}
+
+// text is a Sink.
+type text struct{ body []byte }
+
+func (s *text) Frames(batch []*msg.Frame) error {
+	for _, f := range batch {
+		s.body = append(s.body, f.Data...)
+	}
+	return nil
+}
+
+func ring(t *testing.T, a *keys.Authority, role keys.Role) *keys.Ring {
+	t.Helper()
+	material, err := a.Issue(role, "host", time.Hour)
+	assert.NilError(t, err)
+	r, err := keys.New(material)
+	assert.NilError(t, err)
+	return r
+}
+
+// fixture returns a dispatcher with one scripted agent for each script, named e0, e1 and so on.
+func fixture(t *testing.T, scripts ...respond) (*Dispatcher, []*scripted) {
+	t.Helper()
+	authority, err := keys.NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	agentKeys, entryKeys := ring(t, authority, keys.RoleAgent), ring(t, authority, keys.RoleEntry)
+	directory := addresses{"nowhere": "127.0.0.1:1"}
+	var picker inOrder
+	var agents []*scripted
+	for i, script := range scripts {
+		agent := &scripted{respond: script}
+		server, err := link.Listen("127.0.0.1:0", agentKeys.Server(keys.RoleEntry), link.DefaultConfig(), agent)
+		assert.NilError(t, err)
+		t.Cleanup(server.Close)
+		name := id.Endpoint([]string{"e0", "e1", "e2"}[i])
+		directory[name] = server.Address()
+		picker.endpoints = append(picker.endpoints, name)
+		agents = append(agents, agent)
+	}
+	linkConfig := link.DefaultConfig()
+	linkConfig.DialTimeout = 200 * time.Millisecond
+	pool := link.NewPool(linkConfig, func() *tls.Config { return entryKeys.Client(keys.RoleAgent) })
+	t.Cleanup(pool.Close)
+	c := DefaultConfig()
+	c.RecoveryTimeout = 300 * time.Millisecond
+	c.RecoveryInterval = 10 * time.Millisecond
+	return New(c, Deps{
+		Picker: picker, Table: noTable{}, Budget: retry.NewBudget(retry.Config{}), Directory: directory,
+		Pool: pool, Recorder: timeline.Discard,
+	}), agents
+}
+
+func refuse(code msg.Code) respond {
+	return func(s *link.Session, o *msg.Order, _ int) {
+		if o.Dispatch != nil {
+			s.Reply(&msg.Reply{ID: o.ID, Frame: &msg.Frame{Attempt: o.Dispatch.Attempt, Refused: &msg.Refusal{Code: code}}})
+		}
+	}
+}
+
+// breakAnswer starts an answer that its back end does not complete.
+func breakAnswer(s *link.Session, o *msg.Order, _ int) {
+	if o.Dispatch != nil {
+		s.Reply(&msg.Reply{ID: o.ID, Frame: &msg.Frame{
+			Attempt: o.Dispatch.Attempt, End: &msg.End{Outcome: outcome.Unknown, Error: "back end broke"},
+		}})
+	}
+}
+
+func answer(s *link.Session, id uint64, attempt id.Attempt, from uint32) {
+	for _, f := range []*msg.Frame{data(string(attempt), 0, "x"), data(string(attempt), 1, "y"), end(string(attempt), 2, "xy")} {
+		if f.Seq >= from {
+			s.Reply(&msg.Reply{ID: id, Frame: f})
+		}
+	}
+}
+
+func call(idempotent bool) *Call {
+	return &Call{Request: "req", Team: "puno", Service: "s", Idempotent: idempotent, Deadline: time.Now().Add(20 * time.Second), Plain: &msg.Plain{}}
+}
+
+func action() *Call {
+	c := call(false)
+	c.Action = "act"
+	c.Bound = &Binding{Endpoint: "e0", Incarnation: "inc"}
+	return c
+}
+
+// TestOutcomeAfterSeveralTries checks that a request is not said to be not run
+// because its last try was not, if an earlier one may have run.
+func TestOutcomeAfterSeveralTries(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		idempotent bool
+		scripts    []respond
+		tries      int
+		want       outcome.Outcome
+	}{
+		{"every try refused", true, []respond{refuse(msg.CodeQueueFull), refuse(msg.CodeDraining)}, 2, outcome.NotRun},
+		{"broken, then refused", true, []respond{breakAnswer, refuse(msg.CodeDraining)}, 2, outcome.Unknown},
+		{"broken, then no other endpoint", true, []respond{breakAnswer}, 1, outcome.Unknown},
+		{"refused, then broken", true, []respond{refuse(msg.CodeDraining), breakAnswer}, 2, outcome.Unknown},
+		{"broken and not idempotent", false, []respond{breakAnswer, refuse(msg.CodeDraining)}, 1, outcome.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d, _ := fixture(t, tc.scripts...)
+			r := d.Run(t.Context(), call(tc.idempotent), &text{})
+			assert.Equal(t, r.Outcome, tc.want, "%v", r.Problem)
+			assert.Equal(t, r.Problem.Outcome, tc.want)
+			assert.Equal(t, r.Tries, tc.tries)
+		})
+	}
+}
+
+// TestOutcomeOfRefusal checks what a refusal says of the request and of its action.
+func TestOutcomeOfRefusal(t *testing.T) {
+	for _, tc := range []struct {
+		code              msg.Code
+		request           outcome.Outcome
+		actionThenRequest outcome.Outcome
+		action            outcome.Outcome
+	}{
+		{msg.CodeIncarnation, outcome.NotRun, outcome.Unknown, outcome.Unknown},
+		{msg.CodeDraining, outcome.NotRun, outcome.NotRun, outcome.NotRun},
+		{msg.CodeQueueFull, outcome.NotRun, outcome.NotRun, outcome.NotRun},
+		{msg.CodeDeadline, outcome.NotRun, outcome.NotRun, outcome.NotRun},
+		{msg.CodeWithdrawn, outcome.NotRun, outcome.NotRun, outcome.NotRun},
+		{msg.CodeBackend, outcome.NotRun, outcome.NotRun, outcome.NotRun},
+		{msg.CodePayload, outcome.NotRun, outcome.NotRun, outcome.Unknown},
+		{msg.CodeTicket, outcome.NotRun, outcome.NotRun, outcome.Unknown},
+		{msg.CodeTicketExpired, outcome.Unknown, outcome.Unknown, outcome.Unknown},
+		{msg.CodeUnknownAttempt, outcome.NotRun, outcome.NotRun, outcome.Unknown},
+		{msg.CodeLedgerFull, outcome.NotRun, outcome.NotRun, outcome.Unknown},
+		{msg.CodeBadRequest, outcome.NotRun, outcome.NotRun, outcome.Unknown},
+	} {
+		t.Run(string(tc.code), func(t *testing.T) {
+			d, agents := fixture(t, refuse(tc.code))
+			assert.Equal(t, d.Run(t.Context(), call(false), &text{}).Outcome, tc.request)
+			r := d.Run(t.Context(), action(), &text{})
+			assert.Equal(t, r.Outcome, tc.actionThenRequest)
+			assert.Equal(t, r.Problem.ActionOutcome, tc.action)
+			assert.Equal(t, agents[0].dispatches(), 2, "nothing is dispatched again")
+		})
+	}
+}
+
+// TestRefusalOfAnotherAttempt checks that a crossed refusal is not taken for the own one.
+func TestRefusalOfAnotherAttempt(t *testing.T) {
+	d, _ := fixture(t, func(s *link.Session, o *msg.Order, _ int) {
+		s.Reply(&msg.Reply{ID: o.ID, Frame: &msg.Frame{Attempt: "other", Refused: &msg.Refusal{Code: msg.CodeDraining}}})
+		answer(s, o.ID, o.Dispatch.Attempt, 0)
+	})
+	var sink text
+	r := d.Run(t.Context(), call(false), &sink)
+	assert.Equal(t, r.Outcome, outcome.Ran, "%v", r.Problem)
+	assert.Equal(t, string(sink.body), "xy")
+}
+
+// TestMissingFrameIsAskedFor checks that the answer continues at the missing
+// frame without a second dispatch.
+func TestMissingFrameIsAskedFor(t *testing.T) {
+	d, agents := fixture(t, func(s *link.Session, o *msg.Order, _ int) {
+		if o.Attach != nil {
+			answer(s, o.ID, o.Attach.Attempt, o.Attach.From)
+			return
+		}
+		s.Reply(&msg.Reply{ID: o.ID, Frame: data(string(o.Dispatch.Attempt), 0, "x")})
+		s.Reply(&msg.Reply{ID: o.ID, Frame: end(string(o.Dispatch.Attempt), 2, "xy")})
+	})
+	var sink text
+	r := d.Run(t.Context(), call(false), &sink)
+	assert.Equal(t, r.Outcome, outcome.Ran, "%v", r.Problem)
+	assert.Equal(t, string(sink.body), "xy")
+	assert.Equal(t, agents[0].dispatches(), 1)
+	assert.Equal(t, agents[0].orders[1].Attach.From, uint32(1))
+}
+
+// TestChangedAnswerIsNotComplete checks that a wrong checksum is reported.
+func TestChangedAnswerIsNotComplete(t *testing.T) {
+	d, _ := fixture(t, func(s *link.Session, o *msg.Order, _ int) {
+		s.Reply(&msg.Reply{ID: o.ID, Frame: data(string(o.Dispatch.Attempt), 0, "q")})
+		s.Reply(&msg.Reply{ID: o.ID, Frame: end(string(o.Dispatch.Attempt), 1, "x")})
+	})
+	r := d.Run(t.Context(), call(true), &text{})
+	assert.Equal(t, r.Problem.Code, problem.AnswerIncomplete)
+	assert.Equal(t, r.Outcome, outcome.Unknown)
+}
+
+// TestDialFailureIsNotRun checks that nothing is said to have run if no
+// connection to the agent came about.
+func TestDialFailureIsNotRun(t *testing.T) {
+	d, _ := fixture(t)
+	c := action()
+	c.Bound.Endpoint = "nowhere"
+	r := d.Run(t.Context(), c, &text{})
+	assert.Equal(t, r.Outcome, outcome.NotRun)
+	c.Bound.Endpoint = "unconfigured"
+	assert.Equal(t, d.Run(t.Context(), c, &text{}).Outcome, outcome.NotRun)
+}
+
+// TestWithdrawal checks what a caller that leaves makes of a request, for each verdict.
+func TestWithdrawal(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		verdict         *msg.Verdict
+		request, action outcome.Outcome
+	}{
+		{"attempt and action tombstoned", &msg.Verdict{Incarnation: "inc", State: msg.StateTombstoned, Outcome: outcome.NotRun}, outcome.NotRun, outcome.NotRun},
+		{"only the attempt tombstoned", &msg.Verdict{Incarnation: "inc", State: msg.StateTombstoned, Outcome: outcome.Unknown}, outcome.NotRun, outcome.Unknown},
+		{"tombstoned by another incarnation", &msg.Verdict{Incarnation: "new", State: msg.StateTombstoned, Outcome: outcome.NotRun}, outcome.Unknown, ""},
+		{"started", &msg.Verdict{Incarnation: "inc", State: msg.StateStarted, Outcome: outcome.Unknown}, outcome.Unknown, ""},
+		{"no verdict", nil, outcome.Unknown, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			d, _ := fixture(t, func(s *link.Session, o *msg.Order, _ int) {
+				switch {
+				case o.Dispatch != nil:
+					cancel()
+				case o.Withdraw != nil && tc.verdict != nil:
+					s.Reply(&msg.Reply{ID: o.ID, Verdict: tc.verdict})
+				}
+			})
+			d.config.WithdrawTimeout = 100 * time.Millisecond
+			if tc.verdict != nil {
+				d.config.WithdrawTimeout = time.Minute
+			}
+			r := d.Run(ctx, action(), &text{})
+			assert.Equal(t, r.Outcome, tc.request)
+			assert.Equal(t, r.Problem.ActionOutcome, tc.action)
+		})
+	}
+}
--- a/entry/dispatch/try.go
+++ b/entry/dispatch/try.go
@@ -51,7 +51,7 @@
 				return t.withdraw(problem.DeadlineExceeded, "the answer did not begin in time")
 			}
 		case <-ctx.Done():
-			return t.withdraw(problem.OutcomeUnknown, errCallerLeft.Error())
+			return t.withdraw(problem.ShuttingDown, errAbandoned.Error())
 		}
 	}
 }
@@ -105,6 +105,9 @@
 	var corrupt *ChecksumError
 	for _, f := range frames {
 		if f.Refused != nil {
+			if !t.assembler.owns(f) {
+				continue
+			}
 			return t.refused(f.Refused), true
 		}
 		fresh, err := t.assembler.accept(f)
@@ -120,7 +123,7 @@
 		}
 	}
 	if err := t.deliver(batch); err != nil {
-		return t.withdraw(problem.OutcomeUnknown, errCallerLeft.Error()), true
+		return t.withdraw(problem.ShuttingDown, errAbandoned.Error()), true
 	}
 	switch {
 	case t.assembler.end != nil:
@@ -189,10 +192,11 @@
 
 // actionOutcome tells what a refusal states of the action over all its attempts.
 // An agent that refuses an action refuses every attempt of it, unless it could
-// not record that or the refusal is for another payload.
+// not record that, the refusal is for another payload, or only this attempt was
+// refused because it had not arrived.
 func actionOutcome(c msg.Code, o outcome.Outcome) outcome.Outcome {
 	switch c {
-	case msg.CodeLedgerFull, msg.CodePayload, msg.CodeTicket, msg.CodeBadRequest:
+	case msg.CodeLedgerFull, msg.CodePayload, msg.CodeTicket, msg.CodeBadRequest, msg.CodeUnknownAttempt:
 		return outcome.Unknown
 	}
 	return o
@@ -240,7 +244,11 @@
 	}
 	t.record(t.call, "request.withdrawn", t.attempt, t.choice.Endpoint, string(verdict.State))
 	if verdict.State == msg.StateTombstoned && verdict.Incarnation == t.choice.Incarnation {
-		return Result{Outcome: outcome.NotRun, Problem: problem.Newf(code, "endpoint %q: %s", t.choice.Endpoint, detail)}
+		p := problem.Newf(code, "endpoint %q: %s", t.choice.Endpoint, detail)
+		if t.call.Action != "" {
+			p.ActionOutcome = verdict.Outcome
+		}
+		return Result{Outcome: outcome.NotRun, Problem: p}
 	}
 	return Result{Outcome: outcome.Unknown, Problem: unknown}
 }
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -246,10 +246,12 @@
 
 // Verdict answers Withdraw and Inquire.
 type Verdict struct {
-	Incarnation id.Incarnation  `cbor:"1,keyasint"`
-	State       State           `cbor:"2,keyasint"`
-	Outcome     outcome.Outcome `cbor:"3,keyasint"`
-	Attempt     id.Attempt      `cbor:"4,keyasint,omitempty"`
+	Incarnation id.Incarnation `cbor:"1,keyasint"`
+	State       State          `cbor:"2,keyasint"`
+	// Outcome is that of the action over all its attempts, if the order named
+	// one, and otherwise that of the attempt.
+	Outcome outcome.Outcome `cbor:"3,keyasint"`
+	Attempt id.Attempt      `cbor:"4,keyasint,omitempty"`
 }
 
 // TicketOrder asks for a ticket for one action of a team.
