--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -153,7 +153,8 @@
 		to.refuse(o.Attempt, &msg.Refusal{Code: msg.CodeIncarnation, Detail: "the agent was restarted"})
 		return
 	}
-	a.ledger.Attach(o.Attempt, ledger.Key{Team: o.Team, Action: o.Action}, o.From, to)
+	attempt := ledger.Attempt{ID: o.Attempt, Action: o.Action, Team: o.Team, PayloadHash: o.PayloadHash}
+	a.ledger.Attach(attempt, o.From, to)
 }
 
 // withdraw tombstones an attempt before its start. Afterwards it is cancelled
--- a/agent/ledger/ledger.go
+++ b/agent/ledger/ledger.go
@@ -131,7 +131,8 @@
 		return AdmittedRefused, r.refusal
 	}
 	if r.attempt.PayloadHash != a.PayloadHash || r.attempt.Team != a.Team {
-		return AdmittedRefused, &msg.Refusal{Code: msg.CodePayload, Detail: "the action was used with another payload"}
+		refusal := payloadRefusal()
+		return AdmittedRefused, &refusal
 	}
 	l.attach(r, 0, sink)
 	return AdmittedJoined, nil
@@ -284,22 +285,41 @@
 
 // Attach replays the frames of an attempt from a sequence number on and keeps
 // the sink attached for later ones. An unknown attempt is tombstoned, unless its
-// action is known: then the frames are those of the action's attempt.
-func (l *Ledger) Attach(attempt id.Attempt, k Key, from uint32, sink Sink) {
+// action is known with the same payload: then the frames are those of the
+// action's attempt.
+func (l *Ledger) Attach(a Attempt, from uint32, sink Sink) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, ok := l.attempts[attempt]
-	if !ok && k.Action != "" {
-		r, ok = l.actions[k]
-	}
+	r, ok := l.attempts[a.ID]
 	if !ok {
-		r = &record{attempt: Attempt{ID: attempt}}
-		l.attempts[attempt] = r
-		l.tombstone(r, msg.Refusal{Code: msg.CodeUnknownAttempt, Detail: "the agent did not receive the attempt"})
+		r = l.attachUnknown(a)
 	}
 	l.attach(r, from, sink)
 }
 
+// attachUnknown returns the record of the action of an attempt that is not
+// recorded, or a new tombstone.
+func (l *Ledger) attachUnknown(a Attempt) *record {
+	refusal := msg.Refusal{Code: msg.CodeUnknownAttempt, Detail: "the agent did not receive the attempt"}
+	if a.Action != "" {
+		r, ok := l.actions[a.key()]
+		if ok && r.attempt.PayloadHash == a.PayloadHash {
+			return r
+		}
+		if ok {
+			refusal = payloadRefusal()
+		}
+	}
+	r := &record{attempt: Attempt{ID: a.ID}}
+	l.attempts[a.ID] = r
+	l.tombstone(r, refusal)
+	return r
+}
+
+func payloadRefusal() msg.Refusal {
+	return msg.Refusal{Code: msg.CodePayload, Detail: "the action was used with another payload"}
+}
+
 func (l *Ledger) attach(r *record, from uint32, sink Sink) {
 	switch {
 	case r.state == msg.StateTombstoned:
--- a/entry/dispatch/recover.go
+++ b/entry/dispatch/recover.go
@@ -57,7 +57,7 @@
 	s := newStream()
 	order, err := conn.Send(&msg.Order{Attach: &msg.Attach{
 		Attempt: t.assembler.attempt, Incarnation: t.choice.Incarnation, From: t.assembler.next,
-		Team: t.call.Team, Action: t.call.Action,
+		Team: t.call.Team, Action: t.call.Action, PayloadHash: t.call.PayloadHash,
 	}}, s)
 	if err != nil {
 		return false
--- a/wire/link/pool.go
+++ b/wire/link/pool.go
@@ -13,6 +13,9 @@
 	config Config
 	tls    func() *tls.Config
 	dials  singleflight.Group
+	// ctx ends dials in progress when the pool is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// mu is a leaf lock.
 	mu     sync.Mutex
@@ -22,7 +25,8 @@
 
 // NewPool returns a pool that dials with the TLS configuration that tls returns.
 func NewPool(c Config, tls func() *tls.Config) *Pool {
-	return &Pool{config: c, tls: tls, conns: make(map[string]*Conn)}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{config: c, tls: tls, ctx: ctx, cancel: cancel, conns: make(map[string]*Conn)}
 }
 
 // Existing returns the live connection to address, or nil.
@@ -54,7 +58,7 @@
 	if c := p.Existing(address); c != nil {
 		return c, nil
 	}
-	c, err := dial(context.Background(), address, p.tls(), p.config)
+	c, err := dial(p.ctx, address, p.tls(), p.config)
 	if err != nil {
 		return nil, err
 	}
@@ -78,8 +82,9 @@
 	}
 }
 
-// Close ends all connections.
+// Close ends all connections and dials.
 func (p *Pool) Close() {
+	p.cancel()
 	p.mu.Lock()
 	p.closed = true
 	conns := p.conns
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -205,10 +205,12 @@
 	Attempt     id.Attempt     `cbor:"1,keyasint"`
 	Incarnation id.Incarnation `cbor:"2,keyasint"`
 	From        uint32         `cbor:"3,keyasint"`
-	// Team and Action are set for actions. If the attempt is unknown but its
-	// action is not, the frames of the action's attempt are sent.
-	Team   id.Team   `cbor:"4,keyasint,omitempty"`
-	Action id.Action `cbor:"5,keyasint,omitempty"`
+	// Team, Action and PayloadHash are set for actions. If the attempt is unknown
+	// but its action is known with this payload, the frames of the action's
+	// attempt are sent.
+	Team        id.Team   `cbor:"4,keyasint,omitempty"`
+	Action      id.Action `cbor:"5,keyasint,omitempty"`
+	PayloadHash uint64    `cbor:"6,keyasint,omitempty"`
 }
 
 // Withdraw cancels an attempt: before its start it is tombstoned, afterwards it
