--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -10,12 +10,13 @@
 
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/ledger"
-	"github.com/siskinford/siskinford/wire/ticket"
+	"github.com/siskinford/siskinford/agent/plain"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/keys"
 	"github.com/siskinford/siskinford/wire/link"
 	"github.com/siskinford/siskinford/wire/msg"
+	"github.com/siskinford/siskinford/wire/ticket"
 )
 
 // housekeepingInterval is the time between passes over queue and ledger.
@@ -23,10 +24,10 @@
 
 // PlainBackend runs HTTP requests at a plain service.
 type PlainBackend interface {
-	// Run forwards p and blocks until the answer has ended. It never repeats a
-	// request. The error is an *engine.NotStartedError only if no byte of the
+	// Do forwards p and blocks until the answer has ended. It never repeats a
+	// request. The error is a *plain.NotStartedError only if no byte of the
 	// request can have reached the service.
-	Run(ctx context.Context, p *msg.Plain, head func(msg.Head) error, body func([]byte) error) error
+	Do(ctx context.Context, p *msg.Plain, w plain.Writer) error
 }
 
 // Deps are the parts that an agent works with. Exactly one of Engine and Plain is set.
@@ -46,6 +47,7 @@
 	ledger      *ledger.Ledger
 	tickets     *ticket.Issuer
 	server      *link.Server
+	operator    operatorServer
 	now         func() time.Time
 
 	ctx     context.Context // ends when running attempts are cut off
@@ -62,6 +64,9 @@
 	leaving  bool   // set by shutdown, never cleared
 }
 
+// Reload reads the key material again.
+func (a *Agent) Reload() error { return a.deps.Keys.Reload() }
+
 // run is one attempt that was handed to the back end.
 type run struct {
 	item   item
@@ -108,9 +113,14 @@
 		return err
 	}
 	a.server = server
+	if err := a.startOperator(); err != nil {
+		server.Close()
+		return err
+	}
 	a.wg.Go(a.housekeeping)
 	a.wg.Go(func() { a.reports.poll(a.ctx) })
 	a.record(timeline.Event{Kind: "agent.started", Detail: server.Address()})
+	a.deps.Log.Info().Str("event", "agent.operators").Msg(a.OperatorAddress())
 	return nil
 }
 
@@ -136,6 +146,7 @@
 	_ = a.awaitCancelled()
 	a.record(timeline.Event{Kind: "agent.stopped"})
 	a.server.Close()
+	_ = a.operator.server.Close()
 	a.wg.Wait()
 	return err
 }
@@ -212,6 +223,10 @@
 	e.Endpoint = a.config.Endpoint
 	e.Incarnation = a.incarnation
 	a.deps.Ring.Record(e)
-	a.deps.Log.Info().Str("event", string(e.Kind)).Str("request", string(e.Request)).
+	level := zerolog.InfoLevel
+	if e.Attempt != "" {
+		level = zerolog.DebugLevel
+	}
+	a.deps.Log.WithLevel(level).Str("event", string(e.Kind)).Str("request", string(e.Request)).
 		Str("attempt", string(e.Attempt)).Str("endpoint", string(e.Endpoint)).Msg(e.Detail)
 }
--- /dev/null
+++ b/entry/server/operator.go
@@ -0,0 +1,41 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/siskinford/siskinford/core/ops"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/fleet/config"
+)
+
+func (s *Server) operatorHandler() http.Handler {
+	r := chi.NewRouter()
+	ops.Routes(r, s.metrics, s.unready)
+	return r
+}
+
+// unready returns why the entry does not accept requests, or the empty text.
+func (s *Server) unready() string {
+	switch {
+	case s.stopping.Load():
+		return "shutting down"
+	case !s.Ready():
+		return "configuration or endpoints are not known yet"
+	}
+	return ""
+}
+
+// Ready reports whether the configuration is known and each endpoint was asked for its load.
+func (s *Server) Ready() bool {
+	return s.state.current.Load().Complete() && s.endpoints.Settled()
+}
+
+// unlimited admits every call.
+type unlimited struct{}
+
+func (unlimited) Admit(config.Team, *dispatch.Call) (func(uint32), *problem.Problem) {
+	return func(uint32) {}, nil
+}
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/rendezvous"
 )
--- a/fleet/spread/bench_test.go
+++ b/fleet/spread/bench_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
@@ -18,7 +20,6 @@
 	"github.com/siskinford/siskinford/fleet/platform/memstore"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/fleet/transport/memnet"
-	"gotest.tools/v3/assert"
 )
 
 // applier records what a process has in force and each regression.
--- a/fleet/spread/config.go
+++ b/fleet/spread/config.go
@@ -67,8 +67,12 @@
 	}
 	positive("fanout", int64(c.Fanout))
 	positive("call_timeout", int64(c.CallTimeout))
-	positive("zone_tries", int64(c.ZoneTries))
-	positive("elsewhere_tries", int64(c.ElsewhereTries))
+	if c.ZoneTries < 0 {
+		l.Addf("zone_tries", "must not be negative, but is %d", c.ZoneTries)
+	}
+	if c.ElsewhereTries < 0 {
+		l.Addf("elsewhere_tries", "must not be negative, but is %d", c.ElsewhereTries)
+	}
 	positive("duty_interval", int64(c.DutyInterval))
 	positive("watch_timeout", int64(c.WatchTimeout))
 	positive("call_platform_timeout", int64(c.CallPlatformTimeout))
--- a/fleet/spread/holder_test.go
+++ b/fleet/spread/holder_test.go
@@ -3,8 +3,9 @@
 import (
 	"testing"
 
-	"github.com/siskinford/siskinford/fleet/config"
 	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/fleet/config"
 )
 
 func TestHolderTakesOnlyGreaterVersions(t *testing.T) {
--- a/fleet/spread/message.go
+++ b/fleet/spread/message.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
--- a/fleet/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -8,11 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
 	"github.com/siskinford/siskinford/fleet/platform/faultstore"
 	"github.com/siskinford/siskinford/fleet/transport"
-	"gotest.tools/v3/assert"
 )
 
 // settle is the virtual time after which all processes of a bench know each other.
--- a/fleet/transport/memnet/memnet.go
+++ b/fleet/transport/memnet/memnet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinford/siskinford/fleet/transport"
 )
 
--- a/fleet/transport/mux_test.go
+++ b/fleet/transport/mux_test.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/fleet/transport/memnet"
-	"gotest.tools/v3/assert"
 )
 
 func echo(_ context.Context, payload []byte) ([]byte, error) {
