Measurement of control slopes, fewer exchanges between zones

Cause: two delegates of each zone each exchanged summaries with every zone at both ends, so that a summary arrived four times where once is enough.

--- a/fleet/member/config.go
+++ b/fleet/member/config.go
@@ -22,7 +22,7 @@
 	// Successors is the number of hosts that each host monitors, its next ones
 	// in hash order. Unit: hosts. Default: 2.
 	Successors int
-	// Random is the number of further hosts probed in each interval. Unit: hosts. Default: 2.
+	// Random is the number of further hosts probed in each interval. Unit: hosts. Default: 1.
 	Random int
 	// RetryInterval is the time without an answer after which a probe is
 	// repeated. The first repetition uses a fresh connection. Unit: duration. Default: 200ms.
@@ -56,7 +56,8 @@
 
 // CrossConfig holds the bounds of the protocol between zones.
 type CrossConfig struct {
-	// Interval is the time between summaries to each other zone. Unit: duration. Default: 5s.
+	// Interval is the time between two exchanges of summaries with each other
+	// zone. Unit: duration. Default: 5s.
 	Interval time.Duration
 	// Delegates is the number of hosts of each zone that exchange summaries. Unit: hosts. Default: 2.
 	Delegates int
@@ -80,7 +81,7 @@
 	return ZoneConfig{
 		ProbeInterval:  500 * time.Millisecond,
 		Successors:     2,
-		Random:         2,
+		Random:         1,
 		RetryInterval:  200 * time.Millisecond,
 		Helpers:        2,
 		SuspectAfter:   1200 * time.Millisecond,
--- a/fleet/member/cross.go
+++ b/fleet/member/cross.go
@@ -88,6 +88,9 @@
 	t.cross.turn++
 	var out []Outgoing
 	for _, zone := range t.zoneNames() {
+		if t.exchanged(zone, now) {
+			continue
+		}
 		contacts, fresh := t.contacts(zone, now)
 		if len(contacts) == 0 {
 			continue
@@ -104,6 +107,13 @@
 	return out
 }
 
+// exchanged reports whether a summary of a zone arrived so lately that another
+// delegate, of this or that zone, must have made the exchange that is due.
+func (t *Table) exchanged(zone id.Zone, now time.Time) bool {
+	z := t.zone(zone, now)
+	return z.Reachable && z.Age < t.cfg.Cross.Interval*3/4
+}
+
 // contacts returns hosts of another zone to call. The result is true if the
 // zone is not reachable, in which case seeds are included.
 func (t *Table) contacts(zone id.Zone, now time.Time) ([]Peer, bool) {
--- a/fleet/spread/message.go
+++ b/fleet/spread/message.go
@@ -68,7 +68,8 @@
 	return nil
 }
 
-func deflate(value []byte) ([]byte, error) {
+// Deflate packs a value for the way between entries.
+func Deflate(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
@@ -83,8 +84,8 @@
 	return b.Bytes(), nil
 }
 
-// inflate returns the value, or an error if it exceeds what the platform stores.
-func inflate(deflated []byte) ([]byte, error) {
+// Inflate returns a packed value, or an error if it exceeds what the platform stores.
+func Inflate(deflated []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(deflated))
 	value, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
 	if err != nil {
--- a/fleet/spread/push.go
+++ b/fleet/spread/push.go
@@ -88,7 +88,7 @@
 
 // takePush applies a pushed object and passes it on if it was new.
 func (s *Spreader) takePush(p push) error {
-	value, err := inflate(p.Object.Value)
+	value, err := Inflate(p.Object.Value)
 	if err != nil {
 		return err
 	}
--- a/fleet/spread/recover.go
+++ b/fleet/spread/recover.go
@@ -106,7 +106,7 @@
 	if err != nil || a.Object == nil {
 		return false
 	}
-	value, err := inflate(a.Object.Value)
+	value, err := Inflate(a.Object.Value)
 	if err != nil {
 		return false
 	}
--- a/fleet/spread/spread.go
+++ b/fleet/spread/spread.go
@@ -299,7 +299,7 @@
 	if version == 0 {
 		return nil, nil
 	}
-	deflated, err := deflate(value)
+	deflated, err := Deflate(value)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/faultproxy/udp.go
+++ b/lab/faultproxy/udp.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 	done   chan struct{}
 	wg     sync.WaitGroup
 
+	packets, bytes atomic.Uint64 // delivered in both directions
+
 	mu    sync.Mutex // guards the fields below; the state's lock may be taken under it
 	flows map[netip.AddrPort]*udpFlow
 }
@@ -64,6 +67,10 @@
 // Set replaces the faults.
 func (p *UDP) Set(f Faults) { p.state.set(f) }
 
+// Traffic returns the packets and payload bytes delivered so far, both
+// directions together.
+func (p *UDP) Traffic() (packets, bytes uint64) { return p.packets.Load(), p.bytes.Load() }
+
 // SilenceExisting drops the packets of the present flows for good. A client
 // gets through again from another port.
 func (p *UDP) SilenceExisting() {
@@ -207,6 +214,8 @@
 		return
 	default:
 	}
+	p.packets.Add(1)
+	p.bytes.Add(uint64(len(pkt.payload)))
 	if d == toTarget {
 		_, _ = f.upstream.Write(pkt.payload)
 		return
--- /dev/null
+++ b/lab/slopes/member.go
@@ -0,0 +1,87 @@
+package slopes
+
+import (
+	"context"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+func measureMembership(ctx context.Context, c Config, r *Result) error {
+	for _, n := range c.Nodes {
+		for _, zones := range zoneCounts(n, c.ZoneSize) {
+			row, err := membershipRow(ctx, c, n, zones)
+			if err != nil {
+				return err
+			}
+			r.Membership = append(r.Membership, row)
+		}
+	}
+	return nil
+}
+
+// zoneCounts returns the numbers of zones to measure n nodes in: zones of the
+// full size and ten smaller ones.
+func zoneCounts(n, zoneSize int) []int {
+	full := (n + zoneSize - 1) / zoneSize
+	const many = 10
+	if full >= many || n < 2*many {
+		return []int{full}
+	}
+	return []int{full, many}
+}
+
+func membershipRow(ctx context.Context, c Config, n, zones int) (Membership, error) {
+	before := heap()
+	b, err := newBench(ctx, c, ModeZoneReader, n, (n+zones-1)/zones, 0)
+	if err != nil {
+		return Membership{}, err
+	}
+	defer b.close()
+	row := Membership{Nodes: n, Zones: b.zones}
+	row.Heap = max(0, heap()-before) / float64(n)
+	start, cpu := time.Now(), processorTime()
+	first := b.traffic()
+	if err := pass(ctx, c.Window); err != nil {
+		return row, err
+	}
+	seconds := time.Since(start).Seconds()
+	row.CoreShare = 100 * (processorTime() - cpu).Seconds() / seconds / float64(n)
+	for i, t := range b.traffic() {
+		sent := float64(t.sent-first[i].sent) / seconds
+		row.SentMean += sent / float64(n)
+		row.SentMax = max(row.SentMax, sent)
+		row.ReceivedMean += float64(t.received-first[i].received) / seconds / float64(n)
+		row.Calls += float64(t.calls-first[i].calls) / seconds / float64(n)
+	}
+	return row, nil
+}
+
+type traffic struct{ sent, received, calls uint64 }
+
+func (b *bench) traffic() []traffic {
+	out := make([]traffic, len(b.nodes))
+	for i, n := range b.nodes {
+		t := n.net.Traffic()
+		out[i] = traffic{sent: t.Sent, received: t.Received, calls: t.Calls}
+	}
+	return out
+}
+
+// processorTime returns the user and system time of the process so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap returns the bytes of live objects.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/lab/slopes/outage.go
@@ -0,0 +1,68 @@
+package slopes
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/fleet/platform/faultstore"
+)
+
+// returnSpan is the time after the return of the platform in which calls are counted.
+const returnSpan = 10 * time.Second
+
+// measureOutage takes the platform away from the largest fleet.
+func measureOutage(ctx context.Context, c Config, r *Result) error {
+	for _, mode := range []Mode{ModeZoneReader, ModeWatchEach} {
+		row, err := outageRow(ctx, c, mode, slices.Max(c.Nodes))
+		if err != nil {
+			return err
+		}
+		r.Outage = append(r.Outage, row)
+	}
+	return nil
+}
+
+func outageRow(ctx context.Context, c Config, mode Mode, n int) (Outage, error) {
+	b, err := newBench(ctx, c, mode, n, c.ZoneSize, 0)
+	if err != nil {
+		return Outage{}, err
+	}
+	defer b.close()
+	row := Outage{Mode: mode, Nodes: n, Zones: b.zones, Seconds: c.Outage.Seconds()}
+	start := time.Now()
+	b.platform.SetDown(true)
+	if err := pass(ctx, c.Outage); err != nil {
+		return row, err
+	}
+	version, err := b.accept(ctx, config.KindTeams)
+	if err != nil {
+		return row, err
+	}
+	back := time.Now()
+	b.platform.SetDown(false)
+	took, _ := b.await(ctx, config.KindTeams, version, b.nodes)
+	row.InForce = millis(took)
+	if err := pass(ctx, returnSpan-time.Since(back)); err != nil {
+		return row, err
+	}
+	row.count(b.platform.Calls(), start, back)
+	return row, nil
+}
+
+func (row *Outage) count(calls []faultstore.Call, start, back time.Time) {
+	perSecond := make(map[int]int)
+	for _, c := range calls {
+		switch {
+		case c.At.Before(start):
+		case c.At.Before(back):
+			row.During++
+		case c.At.Sub(back) < returnSpan:
+			row.First++
+			second := int(c.At.Sub(back) / time.Second)
+			perSecond[second]++
+			row.Peak = max(row.Peak, perSecond[second])
+		}
+	}
+}
--- /dev/null
+++ b/lab/slopes/wire.go
@@ -0,0 +1,205 @@
+package slopes
+
+import (
+	"context"
+	"crypto/tls"
+	"sync/atomic"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/fleet/member"
+	"github.com/siskinford/siskinford/lab/faultproxy"
+	"github.com/siskinford/siskinford/wire/codec"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// packetHeaders are the headers of IPv4 and UDP. Unit: bytes.
+const packetHeaders = 28
+
+// wireGap is the time between two calls, as between two heartbeats.
+const wireGap = 100 * time.Millisecond
+
+// benchHost is the host in the certificates of both ends.
+const benchHost id.Host = "entry-001"
+
+// echo answers orders with the reply of the measured kind.
+type echo struct{}
+
+// Order implements link.Handler.
+func (*echo) Order(s *link.Session, o *msg.Order) {
+	switch {
+	case o.Peer != nil:
+		s.Reply(&msg.Reply{ID: o.ID, Peer: &msg.Peer{Payload: o.Peer.Payload}})
+	case o.Reports != nil:
+		go sendReports(s, o.ID, time.Duration(o.Reports.Interval)*time.Microsecond)
+	}
+}
+
+// sendReports sends load reports at an interval until the session ends.
+func sendReports(s *link.Session, order uint64, interval time.Duration) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-s.Done():
+			return
+		}
+		r := report(0)
+		s.Reply(&msg.Reply{ID: order, Report: &r})
+	}
+}
+
+// Closed implements link.Handler.
+func (*echo) Closed(*link.Session) {}
+
+// Incarnation implements link.Handler.
+func (*echo) Incarnation() id.Incarnation { return "inc_0123456789abcdef0123456789abcdef" }
+
+// wireBench is a connection whose packets are counted on the way.
+type wireBench struct {
+	server *link.Server
+	proxy  *faultproxy.UDP
+	pool   *link.Pool
+	conn   *link.Conn
+}
+
+func newWireBench(ctx context.Context, c Config, l link.Config) (*wireBench, error) {
+	authority, err := keys.NewAuthority(time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	issued, err := authority.Issue(keys.RoleEntry, benchHost, time.Hour)
+	if err != nil {
+		return nil, err
+	}
+	ring, err := keys.New(issued)
+	if err != nil {
+		return nil, err
+	}
+	b := &wireBench{}
+	b.server, err = link.Listen("127.0.0.1:0", ring.Server(keys.RoleEntry), l, &echo{})
+	if err != nil {
+		return nil, err
+	}
+	b.proxy, err = faultproxy.NewUDP(b.server.Address(), c.Seed)
+	if err != nil {
+		b.server.Close()
+		return nil, err
+	}
+	b.pool = link.NewPool(l, func() *tls.Config { return ring.Client(keys.RoleEntry) })
+	b.conn, err = b.pool.Conn(ctx, b.proxy.Addr())
+	if err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *wireBench) close() {
+	b.pool.Close()
+	b.server.Close()
+	b.proxy.Close()
+}
+
+// wireLoad sends messages over a connection for a time and returns how many.
+type wireLoad func(context.Context, *wireBench, time.Duration) (int, error)
+
+// measureWire fills in the packets of calls, reports and idle connections.
+func measureWire(ctx context.Context, c Config, r *Result) error {
+	quiet := link.DefaultConfig()
+	quiet.ProbeInterval = time.Hour
+	quiet.SilenceTimeout = 2 * time.Hour
+	rows := []struct {
+		what string
+		link link.Config
+		load wireLoad
+	}{
+		{"call with a heartbeat each way", quiet, wireHeartbeats},
+		{"load report", quiet, wireReports},
+		{"second of an idle connection with probes", link.DefaultConfig(), wireIdle},
+	}
+	for _, row := range rows {
+		w, err := wireRow(ctx, c, row.link, row.load)
+		if err != nil {
+			return err
+		}
+		w.What = row.what
+		r.Wire = append(r.Wire, w)
+	}
+	return nil
+}
+
+func wireRow(ctx context.Context, c Config, l link.Config, load wireLoad) (Wire, error) {
+	b, err := newWireBench(ctx, c, l)
+	if err != nil {
+		return Wire{}, err
+	}
+	defer b.close()
+	if err := b.warmUp(ctx); err != nil {
+		return Wire{}, err
+	}
+	packets, bytes := b.proxy.Traffic()
+	cpu := processorTime()
+	n, err := load(ctx, b, c.Window)
+	if err != nil {
+		return Wire{}, err
+	}
+	packetsAfter, bytesAfter := b.proxy.Traffic()
+	w := Wire{Count: n}
+	w.Packets = float64(packetsAfter-packets) / float64(n)
+	w.Bytes = float64(bytesAfter-bytes)/float64(n) + w.Packets*packetHeaders
+	w.CPU = millis((processorTime() - cpu) / time.Duration(n))
+	return w, nil
+}
+
+// warmUp waits until the packets of the handshake are over.
+func (b *wireBench) warmUp(ctx context.Context) error {
+	if _, err := b.conn.Call(ctx, &msg.Order{Peer: &msg.Peer{}}); err != nil {
+		return err
+	}
+	return pass(ctx, time.Second)
+}
+
+func wireHeartbeats(ctx context.Context, b *wireBench, window time.Duration) (int, error) {
+	payload, err := codec.Marshal([]member.Message{heartbeat()})
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for end := time.Now().Add(window); time.Now().Before(end); n++ {
+		if _, err := b.conn.Call(ctx, &msg.Order{Peer: &msg.Peer{Payload: payload}}); err != nil {
+			return 0, err
+		}
+		if err := pass(ctx, wireGap); err != nil {
+			return 0, err
+		}
+	}
+	return n, nil
+}
+
+// counter counts the replies to an order.
+type counter struct{ replies atomic.Int64 }
+
+// Reply implements link.Waiter.
+func (c *counter) Reply(*msg.Reply) { c.replies.Add(1) }
+
+// Lost implements link.Waiter.
+func (*counter) Lost(bool, error) {}
+
+func wireReports(ctx context.Context, b *wireBench, window time.Duration) (int, error) {
+	var received counter
+	call, err := b.conn.Send(&msg.Order{Reports: &msg.ReportsOrder{Interval: wireGap.Microseconds()}}, &received)
+	if err != nil {
+		return 0, err
+	}
+	defer call.Release()
+	err = pass(ctx, window)
+	return max(1, int(received.replies.Load())), err
+}
+
+func wireIdle(ctx context.Context, _ *wireBench, window time.Duration) (int, error) {
+	return max(1, int(window/time.Second)), pass(ctx, window)
+}
