--- a/fleet/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -210,6 +210,24 @@
 	})
 }
 
+func TestTwoReadersOfAZone(t *testing.T) {
+	virtual(t, 1, 8, 0, func(b *bench) {
+		side := func(address string) bool { return address < "addr-host-0-04" }
+		b.net.Cut(func(from, to string) bool { return side(from) != side(to) })
+		pass(10 * time.Second)
+		readers := 0
+		for _, p := range b.all {
+			if p.spread.reader() {
+				readers++
+			}
+		}
+		assert.Equal(t, readers, 2)
+		b.await(config.KindTeams, b.accept(config.KindTeams, "divided"), spreadBound, b.all)
+		b.net.Cut(nil)
+		b.await(config.KindTeams, b.accept(config.KindTeams, "joined"), spreadBound, b.all)
+	})
+}
+
 func TestInvalidVersionIsRecordedOnce(t *testing.T) {
 	virtual(t, 1, 4, 0, func(b *bench) {
 		odd := b.all[1]
