--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/siskinford/siskinford/balance/prefix"
 	"github.com/siskinford/siskinford/balance/retry"
 	"github.com/siskinford/siskinford/balance/route"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -23,6 +24,7 @@
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/spread"
 	"github.com/siskinford/siskinford/wire/keys"
 	"github.com/siskinford/siskinford/wire/link"
 )
@@ -41,7 +43,9 @@
 	deps    Deps
 	metrics *metrics.Set
 
-	state     *state
+	events    timeline.Recorder
+	holder    *spread.Holder
+	node      node
 	pool      *link.Pool
 	table     *route.Table
 	endpoints *endpoints.Manager
@@ -66,8 +70,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
-	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent, keys.RoleEntry) })
-	s.table = route.NewTable(route.Config{})
+	s.events = timeline.Logged{Ring: d.Ring, Log: d.Log}
+	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
+	prefixes := prefix.NewIndex(prefix.Config{})
+	s.table = route.NewTable(route.Config{Prefixes: prefixes})
 	picker, err := route.New(c.Policy, s.table)
 	if err != nil {
 		cancel()
@@ -76,8 +82,8 @@
 	endpointConfig := c.Endpoints
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
-	s.endpoints = endpoints.New(endpointConfig, s.table, nil, s.pool, d.Ring)
-	s.state = newState(d.Ring, func(n *config.Snapshot) {
+	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
+	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 	})
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
@@ -92,7 +98,7 @@
 func (s *Server) newCallerServer(picker route.Picker) *http.Server {
 	dispatcher := dispatch.New(s.config.Dispatch, dispatch.Deps{
 		Zone: s.config.Zone, Picker: picker, Table: s.table, Budget: retry.NewBudget(retry.Config{}),
-		Directory: s.endpoints, Pool: s.pool, Recorder: s.deps.Ring,
+		Directory: s.endpoints, Pool: s.pool, Recorder: s.events,
 	})
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
@@ -102,7 +108,7 @@
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
 			Claimer: actions.NewKeyClaimer(s.claims),
 		}),
-		Recorder: s.deps.Ring,
+		Recorder: s.events,
 		Metrics:  caller.NewMetrics(s.metrics),
 	})
 	return &http.Server{
@@ -116,7 +122,7 @@
 
 // catalog returns the configuration in force once all kinds are known.
 func (s *Server) catalog() (caller.Catalog, bool) {
-	snapshot := s.state.current.Load()
+	snapshot := s.holder.Current()
 	return snapshot, snapshot.Complete()
 }
 
@@ -138,12 +144,16 @@
 		_ = s.callerListener.Close()
 		return errors.Wrap(err, "listen for operators")
 	}
-	s.wg.Go(func() { s.watchPlatform(s.ctx, s.deps.Store) })
+	if err = s.startNode(); err != nil {
+		_ = s.callerListener.Close()
+		_ = s.operatorListener.Close()
+		return err
+	}
 	s.wg.Go(func() { _ = s.callers.Serve(s.callerListener) })
 	s.wg.Go(func() { _ = s.operators.Serve(s.operatorListener) })
 	s.deps.Ring.Record(timeline.Event{Kind: "entry.started", Detail: s.CallerAddress()})
 	s.deps.Log.Info().Str("event", "entry.started").Str("callers", s.CallerAddress()).
-		Str("operators", s.OperatorAddress()).Msg("entry serves")
+		Str("operators", s.OperatorAddress()).Str("peers", s.PeerAddress()).Msg("entry serves")
 	return nil
 }
 
@@ -160,7 +170,8 @@
 // first, they are cut off, and each is told what is known of its outcome.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
-	s.deps.Ring.Record(timeline.Event{Kind: "entry.stopping"})
+	s.events.Record(timeline.Event{Kind: "entry.stopping"})
+	s.node.members.Leave()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
@@ -175,6 +186,8 @@
 	s.endpoints.Close()
 	s.pool.Close()
 	s.wg.Wait()
+	s.node.pool.Close()
+	s.node.server.Close()
 	return err
 }
 
@@ -186,3 +199,13 @@
 	defer cancel()
 	_ = s.callers.Shutdown(ctx)
 }
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
