--- a/fleet/spread/spread.go
+++ b/fleet/spread/spread.go
@@ -12,6 +12,7 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -311,14 +312,7 @@
 	s.mu.Lock()
 	d = d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
 	s.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, d) == nil
 }
 
 // backoff returns the wait after a number of failures in a row.
--- a/fleet/transport/memnet/memnet.go
+++ b/fleet/transport/memnet/memnet.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/transport"
 )
 
@@ -277,12 +278,5 @@
 	if n.delay == 0 {
 		return nil
 	}
-	t := time.NewTimer(n.delay)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return timer.Sleep(ctx, n.delay)
 }
--- a/fleet/transport/mux.go
+++ b/fleet/transport/mux.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -36,11 +37,11 @@
 }
 
 // Mux shares one transport between purposes and counts the payload bytes of
-// each as siskinford_control_bytes_total. Register all handlers before the
-// first call arrives.
+// each as siskinford_control_bytes_total. Calls with a purpose that has no
+// handler yet are refused.
 type Mux struct {
 	caller   Caller
-	handlers [purposes]Handler
+	handlers [purposes]atomic.Pointer[Handler]
 	sent     [purposes]*metrics.Counter
 	received [purposes]*metrics.Counter
 }
@@ -60,7 +61,7 @@
 }
 
 // Register sets the handler for calls with purpose p.
-func (m *Mux) Register(p Purpose, h Handler) { m.handlers[p] = h }
+func (m *Mux) Register(p Purpose, h Handler) { m.handlers[p].Store(&h) }
 
 // Caller returns a Caller whose payloads have purpose p.
 func (m *Mux) Caller(p Purpose) Caller { return &purposeCaller{mux: m, purpose: p} }
@@ -71,11 +72,15 @@
 		return nil, fmt.Errorf("peer message is empty")
 	}
 	p := Purpose(payload[0])
-	if p == 0 || p >= purposes || m.handlers[p] == nil {
+	if p == 0 || p >= purposes {
 		return nil, fmt.Errorf("peer message has unknown purpose %d", payload[0])
 	}
+	handler := m.handlers[p].Load()
+	if handler == nil {
+		return nil, fmt.Errorf("peer message has purpose %q, which has no handler", p)
+	}
 	m.received[p].Add(len(payload))
-	answer, err := m.handlers[p](ctx, payload[1:])
+	answer, err := (*handler)(ctx, payload[1:])
 	m.sent[p].Add(len(answer))
 	return answer, err
 }
--- a/fleet/transport/mux_test.go
+++ b/fleet/transport/mux_test.go
@@ -34,7 +34,7 @@
 	_, err = a.Caller(transport.Configuration).Call(t.Context(), "b", nil)
 	var remote *transport.RemoteError
 	assert.Assert(t, errors.As(err, &remote))
-	assert.ErrorContains(t, err, "unknown purpose 2")
+	assert.ErrorContains(t, err, `purpose "configuration", which has no handler`)
 
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
@@ -48,6 +48,8 @@
 	m := transport.NewMux(memnet.New(memnet.Config{}).Join("a"), metrics.NewSet())
 	_, err := m.Handle(t.Context(), nil)
 	assert.ErrorContains(t, err, "empty")
+	_, err = m.Handle(t.Context(), []byte{200})
+	assert.ErrorContains(t, err, "unknown purpose 200")
 }
 
 func TestNetworkFaults(t *testing.T) {
--- a/lab/slopes/member.go
+++ b/lab/slopes/member.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"syscall"
 	"time"
+
+	"github.com/siskinford/siskinford/core/timer"
 )
 
 func measureMembership(ctx context.Context, c Config, r *Result) error {
@@ -42,7 +44,7 @@
 	row.Heap = max(0, heap()-before) / float64(n)
 	start, cpu := time.Now(), processorTime()
 	first := b.traffic()
-	if err := pass(ctx, c.Window); err != nil {
+	if err := timer.Sleep(ctx, c.Window); err != nil {
 		return row, err
 	}
 	seconds := time.Since(start).Seconds()
--- a/lab/slopes/node.go
+++ b/lab/slopes/node.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -84,7 +85,7 @@
 			return nil, err
 		}
 	}
-	return b, pass(ctx, c.Settle)
+	return b, timer.Sleep(ctx, c.Settle)
 }
 
 func (b *bench) start(ctx context.Context, seed uint64, h platform.Host, list []platform.Host) error {
@@ -151,7 +152,7 @@
 // tick drives a node at its own phase while it is not paused.
 func tick(ctx context.Context, n *memnet.Node, seed uint64, ticks chan<- time.Time) {
 	phase := time.Duration(rand.New(rand.NewPCG(seed, 0)).Int64N(int64(member.TickInterval)))
-	if pass(ctx, phase) != nil {
+	if timer.Sleep(ctx, phase) != nil {
 		return
 	}
 	t := time.NewTicker(member.TickInterval)
@@ -184,7 +185,7 @@
 			wait = spread.Default().BackoffMin
 			continue
 		}
-		_ = pass(ctx, wait/2+time.Duration(rng.Int64N(int64(wait/2))))
+		_ = timer.Sleep(ctx, wait/2+time.Duration(rng.Int64N(int64(wait/2))))
 		wait = min(2*wait, spread.Default().BackoffMax)
 	}
 }
@@ -271,22 +272,10 @@
 		if !behind {
 			return took, true
 		}
-		if took > inForceBound || pass(ctx, awaitPoll) != nil {
+		if took > inForceBound || timer.Sleep(ctx, awaitPoll) != nil {
 			return took, false
 		}
 	}
 }
 
-// pass blocks for d or until ctx ends.
-func pass(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func millis(d time.Duration) Millis { return Millis(d.Microseconds()) / 1000 }
--- a/lab/slopes/notice.go
+++ b/lab/slopes/notice.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/member"
 )
 
@@ -50,7 +51,7 @@
 func pause(ctx context.Context, _ *bench, victim *node) error {
 	victim.net.Pause()
 	defer victim.net.Resume()
-	return pass(ctx, pauseLen)
+	return timer.Sleep(ctx, pauseLen)
 }
 
 func freeze(_ context.Context, _ *bench, victim *node) error {
@@ -113,7 +114,7 @@
 	if err := f.strike(ctx, b, victim); err != nil {
 		return err
 	}
-	if err := pass(ctx, noticeSpan-time.Since(start)); err != nil {
+	if err := timer.Sleep(ctx, noticeSpan-time.Since(start)); err != nil {
 		return err
 	}
 	row.Observed = time.Since(start).Seconds() * float64(len(b.nodes))
--- a/lab/slopes/outage.go
+++ b/lab/slopes/outage.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform/faultstore"
 )
@@ -33,7 +34,7 @@
 	row := Outage{Mode: mode, Nodes: n, Zones: b.zones, Seconds: c.Outage.Seconds()}
 	start := time.Now()
 	b.platform.SetDown(true)
-	if err := pass(ctx, c.Outage); err != nil {
+	if err := timer.Sleep(ctx, c.Outage); err != nil {
 		return row, err
 	}
 	version, err := b.accept(ctx, config.KindTeams)
@@ -44,7 +45,7 @@
 	b.platform.SetDown(false)
 	took, _ := b.await(ctx, config.KindTeams, version, b.nodes)
 	row.InForce = millis(took)
-	if err := pass(ctx, returnSpan-time.Since(back)); err != nil {
+	if err := timer.Sleep(ctx, returnSpan-time.Since(back)); err != nil {
 		return row, err
 	}
 	row.count(b.platform.Calls(), start, back)
--- a/lab/slopes/spread.go
+++ b/lab/slopes/spread.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 )
 
@@ -55,7 +56,7 @@
 // idleCalls returns the calls to the platform in a second without changes.
 func (b *bench) idleCalls(ctx context.Context, window time.Duration) (float64, error) {
 	before := len(b.platform.Calls())
-	if err := pass(ctx, window); err != nil {
+	if err := timer.Sleep(ctx, window); err != nil {
 		return 0, err
 	}
 	return float64(len(b.platform.Calls())-before) / window.Seconds(), nil
@@ -79,7 +80,7 @@
 		}
 		delays = append(delays, took)
 		row.MaxSentPerChange = max(row.MaxSentPerChange, b.mostSent(sent))
-		if err := pass(ctx, changeGap); err != nil {
+		if err := timer.Sleep(ctx, changeGap); err != nil {
 			return err
 		}
 	}
--- a/lab/slopes/wire.go
+++ b/lab/slopes/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/member"
 	"github.com/siskinford/siskinford/lab/faultproxy"
 	"github.com/siskinford/siskinford/wire/codec"
@@ -160,7 +161,7 @@
 	if _, err := b.conn.Call(ctx, &msg.Order{Peer: &msg.Peer{}}); err != nil {
 		return err
 	}
-	return pass(ctx, time.Second)
+	return timer.Sleep(ctx, time.Second)
 }
 
 func wireHeartbeats(ctx context.Context, b *wireBench, window time.Duration) (int, error) {
@@ -173,7 +174,7 @@
 		if _, err := b.conn.Call(ctx, &msg.Order{Peer: &msg.Peer{Payload: payload}}); err != nil {
 			return 0, err
 		}
-		if err := pass(ctx, wireGap); err != nil {
+		if err := timer.Sleep(ctx, wireGap); err != nil {
 			return 0, err
 		}
 	}
@@ -196,10 +197,10 @@
 		return 0, err
 	}
 	defer call.Release()
-	err = pass(ctx, window)
+	err = timer.Sleep(ctx, window)
 	return max(1, int(received.replies.Load())), err
 }
 
 func wireIdle(ctx context.Context, _ *wireBench, window time.Duration) (int, error) {
-	return max(1, int(window/time.Second)), pass(ctx, window)
+	return max(1, int(window/time.Second)), timer.Sleep(ctx, window)
 }
