Distant probes go to a bounded set of hosts

Cause: a random probe reaches each host of the zone in turn, so that each entry holds or opens connections to its whole zone.

--- a/fleet/member/config.go
+++ b/fleet/member/config.go
@@ -22,8 +22,9 @@
 	// Successors is the number of hosts that each host monitors, its next ones
 	// in hash order. Unit: hosts. Default: 2.
 	Successors int
-	// Random is the number of further hosts probed in each interval. Unit: hosts. Default: 1.
-	Random int
+	// Distant is the number of further hosts probed in each interval, in turn
+	// those at doubling distances in hash order. Unit: hosts. Default: 1.
+	Distant int
 	// RetryInterval is the time without an answer after which a probe is
 	// repeated. The first repetition uses a fresh connection. Unit: duration. Default: 200ms.
 	RetryInterval time.Duration
@@ -81,7 +82,7 @@
 	return ZoneConfig{
 		ProbeInterval:  500 * time.Millisecond,
 		Successors:     2,
-		Random:         1,
+		Distant:        1,
 		RetryInterval:  200 * time.Millisecond,
 		Helpers:        2,
 		SuspectAfter:   1200 * time.Millisecond,
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -74,6 +74,7 @@
 	entries map[id.Host]*entry
 	order   []id.Host // keys of entries, sorted
 	ring    []id.Host // successors, recomputed when dirty
+	distant []id.Host // hosts at doubling distances, recomputed when dirty
 	dirty   bool
 	// farewell is true until all members were told that the own host leaves.
 	farewell bool
@@ -82,10 +83,11 @@
 	seq      uint64
 	relays   map[uint64]relay
 
-	last       time.Time
-	nextRandom time.Time
-	nextRejoin time.Time
-	nextSync   time.Time
+	last        time.Time
+	nextDistant time.Time
+	turn        int // rotates through distant
+	nextRejoin  time.Time
+	nextSync    time.Time
 
 	cross cross
 	seeds []Peer // hosts of the own zone in the host list
@@ -270,7 +272,7 @@
 		t.hash ^= rendezvous.Score(p.State.String(), p.Host) * (p.Incarnation | 1)
 		candidates = append(candidates, p.Host)
 	}
-	t.ring = successors(t.self.Host, candidates, t.cfg.Zone.Successors)
+	t.ring, t.distant = partners(t.self.Host, candidates, t.cfg.Zone.Successors)
 	for h, e := range t.entries {
 		monitored := slices.Contains(t.ring, h)
 		if monitored && !e.monitored && e.peer.State != Suspect {
@@ -281,13 +283,16 @@
 	}
 }
 
-// successors returns the n hosts that follow self in hash order.
-func successors(self id.Host, hosts []id.Host, n int) []id.Host {
+// partners returns the n hosts that follow self in hash order, and the hosts
+// beyond them at doubling distances.
+func partners(self id.Host, hosts []id.Host, n int) (next, distant []id.Host) {
 	ring := rendezvous.Rank("ring", hosts)
 	at := slices.Index(ring, self)
-	var out []id.Host
-	for i := 1; i < len(ring) && len(out) < n; i++ {
-		out = append(out, ring[(at+i)%len(ring)])
+	for i := 1; i < len(ring) && i <= n; i++ {
+		next = append(next, ring[(at+i)%len(ring)])
 	}
-	return out
+	for i := 2 * n; i < len(ring); i *= 2 {
+		distant = append(distant, ring[(at+i)%len(ring)])
+	}
+	return next, distant
 }
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -24,9 +24,9 @@
 			out = append(out, t.probeMonitored(e, now)...)
 		}
 	}
-	if !now.Before(t.nextRandom) {
-		t.nextRandom = now.Add(t.cfg.Zone.ProbeInterval)
-		out = append(out, t.probeRandom(now)...)
+	if !now.Before(t.nextDistant) {
+		t.nextDistant = now.Add(t.cfg.Zone.ProbeInterval)
+		out = append(out, t.probeDistant(now)...)
 	}
 	if !now.Before(t.nextRejoin) {
 		t.nextRejoin = now.Add(t.cfg.Zone.RejoinInterval)
@@ -153,10 +153,13 @@
 	return t.opt.Note()
 }
 
-func (t *Table) probeRandom(now time.Time) []Outgoing {
+// probeDistant probes the next of the distant hosts, so that claims cross the
+// zone in few steps.
+func (t *Table) probeDistant(now time.Time) []Outgoing {
 	var out []Outgoing
-	for _, e := range t.pick(t.cfg.Zone.Random, func(e *entry) bool { return !e.monitored && e.peer.State != Dead }) {
-		out = append(out, t.ping(e, now))
+	for range min(t.cfg.Zone.Distant, len(t.distant)) {
+		t.turn++
+		out = append(out, t.ping(t.entries[t.distant[t.turn%len(t.distant)]], now))
 	}
 	return out
 }
