An abandoned connection is not used again

Cause: a pool kept a connection until its goroutine had seen the end, so that the call made right after Abandon went out on the old connection and failed; a host behind a silent connection lost its first repeated probe.

Change: Pool.Abandon takes the connection out of the pool before it closes it. TestAbandonedConnectionIsNotUsedAgain fails without that (trial: the deletion left out).

--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -43,11 +43,7 @@
 }
 
 // Abandon implements transport.Caller.
-func (c *Caller) Abandon(address string) {
-	if conn := c.pool.Existing(address); conn != nil {
-		go conn.Close()
-	}
-}
+func (c *Caller) Abandon(address string) { c.pool.Abandon(address) }
 
 const (
 	// handleTimeout bounds the handling of one call.
--- a/lab/slopes/wire.go
+++ b/lab/slopes/wire.go
@@ -212,8 +212,7 @@
 
 func wireDial(ctx context.Context, b *wireBench, _ time.Duration) (int, error) {
 	for range wireDials {
-		b.conn.Close()
-		<-b.conn.Done()
+		b.pool.Abandon(b.proxy.Addr())
 		conn, err := b.pool.Conn(ctx, b.proxy.Addr())
 		if err != nil {
 			return 0, err
--- a/wire/link/link_test.go
+++ b/wire/link/link_test.go
@@ -157,3 +157,20 @@
 	var full *QueueFullError
 	assert.Assert(t, errors.As(err, &full))
 }
+
+func TestAbandonedConnectionIsNotUsedAgain(t *testing.T) {
+	f := newFixture(t, keys.RoleEntry)
+	address := f.server.Address()
+	for range 10 {
+		c, err := f.pool.Conn(t.Context(), address)
+		assert.NilError(t, err)
+		f.pool.Abandon(address)
+		fresh, err := f.pool.Conn(t.Context(), address)
+		assert.NilError(t, err)
+		assert.Assert(t, fresh != c)
+		reply, err := fresh.Call(t.Context(), &msg.Order{Ticket: &msg.TicketOrder{Team: "team"}})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Ticket.Ticket, "team")
+		f.pool.Abandon(address)
+	}
+}
--- a/wire/link/pool.go
+++ b/wire/link/pool.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// Abandon closes the connection to address, if any, so that the next call of
+// Conn dials again. It does not block.
+func (p *Pool) Abandon(address string) {
+	p.mu.Lock()
+	c := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if c != nil {
+		go c.Close()
+	}
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
