A version that no peer has any more is given up

Cause: a host that learned of a version from a peer that then went away asked that peer and the platform for it for ever, each host of the zone by itself. Change: a peer that fails is forgotten until it shows the version again. TestVersionThatNobodyHasIsGivenUp fails without that.

--- a/fleet/spread/recover.go
+++ b/fleet/spread/recover.go
@@ -30,9 +30,7 @@
 			return
 		}
 		failures++
-		s.mu.Lock()
 		s.signal()
-		s.mu.Unlock()
 	}
 }
 
@@ -63,23 +61,32 @@
 }
 
 // fetch asks peers in the zone, then peers elsewhere, and the platform last,
-// until at least version want is in force.
+// until at least version want is in force. Peers that fail are forgotten until
+// they show the version again.
 func (s *Spreader) fetch(ctx context.Context, kind config.Kind, want uint64) bool {
 	zone, elsewhere := s.candidates(kind)
 	for _, address := range zone {
 		if s.fetchFrom(ctx, address, kind, want) {
 			return true
 		}
+		s.forget(kind, address)
 	}
 	for _, address := range elsewhere {
 		if s.fetchFrom(ctx, address, kind, want) {
 			s.pushZone(kind)
 			return true
 		}
+		s.forget(kind, address)
 	}
 	return s.fetchFromPlatform(ctx, kind, want)
 }
 
+func (s *Spreader) forget(kind config.Kind, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sources[kind] = slices.DeleteFunc(s.sources[kind], func(src source) bool { return src.address == address })
+}
+
 // candidates returns the addresses of hosts that showed a greater version, in
 // and outside the zone, in random order and bounded.
 func (s *Spreader) candidates(kind config.Kind) (zone, elsewhere []string) {
--- a/fleet/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -228,6 +228,28 @@
 	})
 }
 
+func TestVersionThatNobodyHasIsGivenUp(t *testing.T) {
+	virtual(t, 1, 4, 0, func(b *bench) {
+		p := b.all[0]
+		note, err := encode(Digest{Ready: true, Versions: map[config.Kind]uint64{config.KindTeams: 9}})
+		assert.NilError(t, err)
+		p.spread.OnNote(member.Peer{Host: "gone", Address: "addr-gone"}, p.zone, note)
+		gets := func() (n int) {
+			for _, c := range p.store.Calls() {
+				if c.Method == "get" {
+					n++
+				}
+			}
+			return n
+		}
+		pass(time.Minute)
+		first := gets()
+		assert.Assert(t, first > 0, "the platform is asked last")
+		pass(5 * time.Minute)
+		assert.Equal(t, gets(), first)
+	})
+}
+
 func TestInvalidVersionIsRecordedOnce(t *testing.T) {
 	virtual(t, 1, 4, 0, func(b *bench) {
 		odd := b.all[1]
