--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -6,9 +6,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/platform"
-	"gotest.tools/v3/assert"
 )
 
 const zoneSize = 36
--- a/fleet/member/message.go
+++ b/fleet/member/message.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
 	"github.com/siskinford/siskinford/core/id"
 )
 
--- a/fleet/rendezvous/rendezvous_test.go
+++ b/fleet/rendezvous/rendezvous_test.go
@@ -5,8 +5,9 @@
 	"slices"
 	"testing"
 
-	"github.com/siskinford/siskinford/core/id"
 	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/id"
 )
 
 func TestLossOfHostMovesOnlyItsDuties(t *testing.T) {
--- a/fleet/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -8,11 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
 	"github.com/siskinford/siskinford/fleet/platform/faultstore"
 	"github.com/siskinford/siskinford/fleet/transport"
-	"gotest.tools/v3/assert"
 )
 
 // settle is the virtual time after which all processes of a bench know each other.
@@ -209,6 +210,46 @@
 	})
 }
 
+func TestTwoReadersOfAZone(t *testing.T) {
+	virtual(t, 1, 8, 0, func(b *bench) {
+		side := func(address string) bool { return address < "addr-host-0-04" }
+		b.net.Cut(func(from, to string) bool { return side(from) != side(to) })
+		pass(10 * time.Second)
+		readers := 0
+		for _, p := range b.all {
+			if p.spread.reader() {
+				readers++
+			}
+		}
+		assert.Equal(t, readers, 2)
+		b.await(config.KindTeams, b.accept(config.KindTeams, "divided"), spreadBound, b.all)
+		b.net.Cut(nil)
+		b.await(config.KindTeams, b.accept(config.KindTeams, "joined"), spreadBound, b.all)
+	})
+}
+
+func TestVersionThatNobodyHasIsGivenUp(t *testing.T) {
+	virtual(t, 1, 4, 0, func(b *bench) {
+		p := b.all[0]
+		note, err := encode(Digest{Ready: true, Versions: map[config.Kind]uint64{config.KindTeams: 9}})
+		assert.NilError(t, err)
+		p.spread.OnNote(member.Peer{Host: "gone", Address: "addr-gone"}, p.zone, note)
+		gets := func() (n int) {
+			for _, c := range p.store.Calls() {
+				if c.Method == "get" {
+					n++
+				}
+			}
+			return n
+		}
+		pass(time.Minute)
+		first := gets()
+		assert.Assert(t, first > 0, "the platform is asked last")
+		pass(5 * time.Minute)
+		assert.Equal(t, gets(), first)
+	})
+}
+
 func TestInvalidVersionIsRecordedOnce(t *testing.T) {
 	virtual(t, 1, 4, 0, func(b *bench) {
 		odd := b.all[1]
--- a/fleet/transport/mux_test.go
+++ b/fleet/transport/mux_test.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/fleet/transport/memnet"
-	"gotest.tools/v3/assert"
 )
 
 func echo(_ context.Context, payload []byte) ([]byte, error) {
@@ -33,7 +34,7 @@
 	_, err = a.Caller(transport.Configuration).Call(t.Context(), "b", nil)
 	var remote *transport.RemoteError
 	assert.Assert(t, errors.As(err, &remote))
-	assert.ErrorContains(t, err, "unknown purpose 2")
+	assert.ErrorContains(t, err, `purpose "configuration", which has no handler`)
 
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
@@ -47,6 +48,8 @@
 	m := transport.NewMux(memnet.New(memnet.Config{}).Join("a"), metrics.NewSet())
 	_, err := m.Handle(t.Context(), nil)
 	assert.ErrorContains(t, err, "empty")
+	_, err = m.Handle(t.Context(), []byte{200})
+	assert.ErrorContains(t, err, "unknown purpose 200")
 }
 
 func TestNetworkFaults(t *testing.T) {
