Add lockstep, the protocol for one expert map per step

Cause: all ranks of a group have to use the same expert map in each step, also with two coordinators, restarted ranks and a network that loses, repeats, delays and reorders messages.

Change: package balance/lockstep holds coordinator and rank as state machines without I/O and clock. A change is a unanimous decision for steps beyond every rank's progress, promised only once the engine's own state shows that it stops there. Between changes nothing is exchanged but a poll.

Found by the exploration and mended: a poll that left out ranks with an outstanding command never found their restart; a list of retired incarnations locked out the live one after a late report; an epoch that names a formation already was used to form again; a promise was given without the weights. One progress failure was the model's own (an engine 72 steps behind has to run them): engines now catch up, as in lock-step, before a round counts.

--- /dev/null
+++ b/balance/lockstep/model_test.go
@@ -0,0 +1,450 @@
+package lockstep
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// witness records which map every engine used at each step.
+type witness struct {
+	maps map[stepKey]Version
+	ran  map[rankStep]bool
+	// formation is the greatest formation in which an engine began a step.
+	formation Epoch
+	switches  int
+}
+
+type stepKey struct {
+	formation Epoch
+	step      Step
+}
+
+type rankStep struct {
+	stepKey
+	rank int
+}
+
+// splitError reports a broken invariant, as opposed to missing progress.
+type splitError struct{ what string }
+
+func (e *splitError) Error() string { return e.what }
+
+func splitf(format string, args ...any) error {
+	return &splitError{what: fmt.Sprintf(format, args...)}
+}
+
+func newWitness() *witness {
+	return &witness{maps: map[stepKey]Version{}, ran: map[rankStep]bool{}}
+}
+
+// begin records a step and returns an error if it breaks the invariant.
+func (w *witness) begin(rank int, f Epoch, s Step, v Version) error {
+	key := stepKey{f, s}
+	if used, ok := w.maps[key]; ok && used != v {
+		return splitf("step %d of formation %d: rank %d uses map %d, another rank used %d", s, f, rank, v, used)
+	}
+	if f < w.formation {
+		return splitf("rank %d began a step in formation %d after formation %d ran", rank, f, w.formation)
+	}
+	if w.ran[rankStep{key, rank}] {
+		return splitf("rank %d began step %d of formation %d twice", rank, s, f)
+	}
+	if s > 0 && w.maps[stepKey{f, s - 1}] != v {
+		w.switches++
+	}
+	w.maps[key] = v
+	w.ran[rankStep{key, rank}] = true
+	w.formation = f
+	return nil
+}
+
+// fakeEngine steps on its own and applies orders.
+type fakeEngine struct {
+	rank        int
+	state       EngineState
+	ignoreFence bool
+	loading     Version
+}
+
+func (e *fakeEngine) apply(o EngineOrder) {
+	if !e.ignoreFence && o.Older(e.state.Order) {
+		return
+	}
+	if o.Formation != e.state.Order.Formation {
+		if !o.Enters() {
+			return
+		}
+		e.state.Next, e.state.LastMap = 0, 0
+	}
+	e.state.Order = o
+}
+
+func (e *fakeEngine) step(w *witness) error {
+	v := e.state.Order.MapAt(e.state.Next)
+	if v == 0 || e.state.Order.Formation == 0 {
+		return nil
+	}
+	if !slices.Contains(e.state.Staged, v) {
+		return splitf("rank %d runs map %d that is not staged", e.rank, v)
+	}
+	if err := w.begin(e.rank, e.state.Order.Formation, e.state.Next, v); err != nil {
+		return err
+	}
+	e.state.Next++
+	e.state.LastMap = v
+	return nil
+}
+
+func (e *fakeEngine) finishLoading() {
+	if e.loading != 0 && !slices.Contains(e.state.Staged, e.loading) {
+		e.state.Staged = append(slices.Clone(e.state.Staged), e.loading)
+		slices.Sort(e.state.Staged)
+	}
+}
+
+// packet is a message in flight. Exactly one of the fields is set.
+type packet struct {
+	cmd    *Command
+	report *Report
+	// coordinator is the sender of the command or the receiver of the report.
+	coordinator int
+	// order is an engine order in flight to the engine of rank.
+	order *EngineOrder
+	rank  int
+}
+
+// model is a group with its network.
+type model struct {
+	n            int
+	ranks        []*Rank
+	engines      []*fakeEngine
+	coordinators []*Coordinator
+	flight       []packet
+	// late are packets held back for long.
+	late []packet
+	// cutCoordinator and cutRank hold back all packets of a coordinator or rank.
+	cutCoordinator [maxCoordinators]bool
+	cutRank        []bool
+	w              *witness
+	incarnations   int
+	target         Version
+	restarts       int
+	// lateOrders lets orders to engines arrive late, twice and out of order.
+	lateOrders bool
+
+	// Mutations for tests of the checker.
+	beforeReceive func(r *Rank, c Command)
+	afterReceive  func(r *Rank)
+	afterReport   func(c *Coordinator)
+}
+
+func newModel(n int) *model {
+	m := &model{n: n, w: newWitness(), lateOrders: true, cutRank: make([]bool, n)}
+	for i := range n {
+		m.ranks = append(m.ranks, NewRank(i, m.incarnation()))
+		m.engines = append(m.engines, &fakeEngine{rank: i})
+	}
+	m.addCoordinator()
+	return m
+}
+
+func (m *model) incarnation() id.Incarnation {
+	m.incarnations++
+	return id.Incarnation(fmt.Sprintf("inc_%032d", m.incarnations))
+}
+
+// addCoordinator starts a coordinator with a new lease; the earlier ones go on unaware.
+func (m *model) addCoordinator() {
+	cfg := Config{Ranks: m.n, Margin: 4, PollTicks: 2}
+	c := NewCoordinator(cfg, uint64(len(m.coordinators)+1))
+	m.coordinators = append(m.coordinators, c)
+	m.newTarget()
+}
+
+func (m *model) newTarget() {
+	m.target++
+	m.coordinators[len(m.coordinators)-1].SetTarget(m.target)
+}
+
+func (m *model) sendCommands(from int, cmds []Command) {
+	for _, c := range cmds {
+		m.flight = append(m.flight, packet{cmd: &c, coordinator: from, rank: c.Rank})
+	}
+}
+
+func (m *model) sendReport(rank int) {
+	for to := range m.coordinators {
+		r := m.ranks[rank].Report()
+		m.flight = append(m.flight, packet{report: &r, coordinator: to, rank: rank})
+	}
+}
+
+func (m *model) deliver(p packet) {
+	switch {
+	case p.order != nil:
+		m.engines[p.rank].apply(*p.order)
+	case p.cmd != nil:
+		r := m.ranks[p.cmd.Rank]
+		if m.beforeReceive != nil {
+			m.beforeReceive(r, *p.cmd)
+		}
+		answer := r.Receive(*p.cmd)
+		if m.afterReceive != nil {
+			m.afterReceive(r)
+		}
+		if answer {
+			m.sendReport(p.cmd.Rank)
+		}
+	case p.report != nil:
+		c := m.coordinators[p.coordinator]
+		m.sendCommands(p.coordinator, c.Receive(*p.report))
+		if m.afterReport != nil {
+			m.afterReport(c)
+		}
+	}
+}
+
+// sync is one pass of an agent: read the engine back and send it what is wanted.
+func (m *model) sync(rank int) {
+	r, e := m.ranks[rank], m.engines[rank]
+	if v, ok := r.StageWanted(); ok {
+		e.loading = v
+	}
+	if r.Observe(e.state) {
+		m.sendReport(rank)
+	}
+	order, ok := r.Order()
+	if !ok || order == e.state.Order {
+		return
+	}
+	if m.lateOrders {
+		p := packet{order: &order, rank: rank}
+		m.flight = append(m.flight, p)
+		m.holdBack(p)
+		return
+	}
+	e.apply(order)
+}
+
+func (m *model) restartRank(rank int) {
+	m.restarts++
+	m.ranks[rank] = NewRank(rank, m.incarnation())
+}
+
+// restartEngine loses the engine's state. Orders in flight end with its connections.
+func (m *model) restartEngine(rank int) {
+	lost := func(p packet) bool { return p.order != nil && p.rank == rank }
+	m.flight = slices.DeleteFunc(m.flight, lost)
+	m.late = slices.DeleteFunc(m.late, lost)
+	m.engines[rank] = &fakeEngine{rank: rank, ignoreFence: m.engines[rank].ignoreFence}
+}
+
+const (
+	actDeliver = iota
+	actDeliverOldest
+	actDuplicate
+	actDelay
+	actRelease
+	actDrop
+	actTick
+	actSync
+	actStep
+	actLoad
+	actTarget
+	actRestartRank
+	actRestartEngine
+	actNewCoordinator
+	actCutCoordinator
+	actCutRank
+)
+
+// profile gives each action its chances. Faults are absent, rare or frequent.
+func profile(draw func(n int) int) []int {
+	chances := [...]int{
+		actDeliver: 150, actDeliverOldest: 300, actTick: 40, actSync: 75 * (1 + draw(4)),
+		actStep: 60 + 80*draw(4), actLoad: 60, actTarget: 10,
+	}
+	faultChances := []int{0, 1, 8}
+	faults := map[int]int{
+		actDuplicate: 5, actDelay: 8, actRelease: 8, actDrop: 5, actRestartRank: 1, actRestartEngine: 1, actNewCoordinator: 2,
+		actCutCoordinator: 2, actCutRank: 2,
+	}
+	var w []int
+	for act := actDeliver; act <= actCutRank; act++ {
+		n := 0
+		if act < len(chances) {
+			n = chances[act]
+		}
+		if f := faults[act]; f > 0 {
+			n = f * faultChances[draw(len(faultChances))]
+		}
+		for range n {
+			w = append(w, act)
+		}
+	}
+	return w
+}
+
+const (
+	maxCoordinators = 4
+	maxLate         = 60
+)
+
+// act performs one random action; draw(n) returns a number below n.
+func (m *model) act(profile []int, draw func(n int) int) error {
+	act := profile[draw(len(profile))]
+	rank := draw(m.n)
+	switch act {
+	case actRelease:
+		m.release(draw)
+	case actDeliver, actDeliverOldest, actDuplicate, actDelay, actDrop:
+		m.actNetwork(act, draw)
+	case actTick:
+		i := draw(len(m.coordinators))
+		m.sendCommands(i, m.coordinators[i].Tick())
+	case actSync:
+		m.sync(rank)
+	case actStep:
+		return m.engines[rank].step(m.w)
+	case actLoad:
+		m.engines[rank].finishLoading()
+	case actTarget:
+		m.newTarget()
+	case actRestartRank:
+		m.restartRank(rank)
+	case actRestartEngine:
+		m.restartEngine(rank)
+	case actNewCoordinator:
+		if len(m.coordinators) < maxCoordinators {
+			m.addCoordinator()
+		}
+	case actCutCoordinator:
+		i := draw(len(m.coordinators))
+		m.cutCoordinator[i] = !m.cutCoordinator[i]
+	case actCutRank:
+		m.cutRank[rank] = !m.cutRank[rank]
+	}
+	return nil
+}
+
+func (m *model) actNetwork(act int, draw func(n int) int) {
+	if len(m.flight) == 0 {
+		return
+	}
+	i := draw(len(m.flight))
+	if act == actDeliverOldest {
+		i = 0
+	}
+	p := m.flight[i]
+	if act != actDuplicate {
+		m.flight = slices.Delete(m.flight, i, i+1)
+	}
+	switch {
+	case act == actDrop:
+	case act == actDuplicate, act == actDelay, m.isCut(p):
+		m.holdBack(p)
+	default:
+		m.deliver(p)
+	}
+}
+
+func (m *model) isCut(p packet) bool {
+	return p.order == nil && (m.cutCoordinator[p.coordinator] || m.cutRank[p.rank])
+}
+
+func (m *model) holdBack(p packet) {
+	if len(m.late) < maxLate {
+		m.late = append(m.late, p)
+	}
+}
+
+// release delivers a packet that was held back.
+func (m *model) release(draw func(n int) int) {
+	if len(m.late) == 0 {
+		return
+	}
+	i := draw(len(m.late))
+	p := m.late[i]
+	m.late = slices.Delete(m.late, i, i+1)
+	m.deliver(p)
+}
+
+// drain delivers every message once, in random order, without answers to answers.
+func (m *model) drain(draw func(n int) int) {
+	for range len(m.flight) {
+		m.actNetwork(actDeliver, draw)
+	}
+}
+
+// settle runs rounds without faults and returns how many it took until every
+// engine runs the target in one formation.
+func (m *model) settle(draw func(n int) int, limit int) (int, error) {
+	m.flight = append(m.flight, m.late...)
+	m.late = nil
+	m.cutCoordinator = [maxCoordinators]bool{}
+	m.cutRank = make([]bool, m.n)
+	for round := range limit {
+		if m.settled() {
+			return round, nil
+		}
+		for i, c := range m.coordinators {
+			m.sendCommands(i, c.Tick())
+		}
+		m.drain(draw)
+		for i := range m.n {
+			m.sync(i)
+			m.engines[i].finishLoading()
+		}
+		if err := m.stepTogether(); err != nil {
+			return round, err
+		}
+	}
+	return limit, fmt.Errorf("map %d did not take hold in %d rounds: %s", m.target, limit, m.describe())
+}
+
+// stepTogether lets the engines that lag catch up, as ranks that run in
+// lock-step do, and then lets each run one step, as far as their orders allow.
+func (m *model) stepTogether() error {
+	for _, e := range m.engines {
+		for range m.lag(e) + 1 {
+			if err := e.step(m.w); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// lag returns how many steps e is behind the first engine of its formation.
+func (m *model) lag(e *fakeEngine) Step {
+	first := e.state.Next
+	for _, other := range m.engines {
+		if other.state.Order.Formation == e.state.Order.Formation {
+			first = max(first, other.state.Next)
+		}
+	}
+	return first - e.state.Next
+}
+
+func (m *model) settled() bool {
+	first := m.engines[0].state
+	for _, e := range m.engines {
+		if e.state.LastMap != m.target || e.state.Order.Formation != first.Order.Formation {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *model) describe() string {
+	s := ""
+	for i, r := range m.ranks {
+		s += fmt.Sprintf("\nrank %d: %+v engine %+v", i, r.Report(), m.engines[i].state)
+	}
+	for _, c := range m.coordinators {
+		s += fmt.Sprintf("\ncoordinator epoch %d phase %s prepared %+v waits for %v", c.epoch, c.phase, c.prepared, c.waiting)
+	}
+	return s
+}
--- /dev/null
+++ b/balance/lockstep/rank.go
@@ -0,0 +1,252 @@
+package lockstep
+
+import (
+	"slices"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Rank is the state machine of one rank. Its owner delivers commands, applies
+// Order to the engine until the engine's state shows it, passes each state that
+// it reads to Observe, and sends Report to the coordinator. It is not safe for
+// concurrent use.
+type Rank struct {
+	index       int
+	incarnation id.Incarnation
+	seq         uint64
+
+	epoch          Epoch
+	committed      Target
+	committedEpoch Epoch
+	// previous is the map before the committed decision.
+	previous     Version
+	pending      Target
+	pendingEpoch Epoch
+	held         bool
+	refused      bool
+	diverged     bool
+
+	order EngineOrder
+	// entered is set once the engine was seen in the order's formation.
+	entered bool
+	next    Step
+	staged  []Version
+	stage   Version
+}
+
+// NewRank returns a rank outside any formation. The incarnation must never have
+// been used before.
+func NewRank(index int, incarnation id.Incarnation) *Rank {
+	return &Rank{index: index, incarnation: incarnation}
+}
+
+// Receive handles a command and reports whether the rank should send a report.
+func (r *Rank) Receive(c Command) bool {
+	if c.Rank != r.index {
+		return false
+	}
+	if c.Kind != Join && c.Incarnation != r.incarnation {
+		return false
+	}
+	if c.Epoch < r.epoch {
+		return true
+	}
+	if c.Kind == Join {
+		r.epoch = c.Epoch
+		return true
+	}
+	if c.Epoch > r.epoch {
+		return false
+	}
+	switch c.Kind {
+	case Stage:
+		r.stage = max(r.stage, c.Map)
+	case Prepare:
+		r.prepare(c)
+	case Commit:
+		r.commit(c)
+	case Resume:
+		r.resume(c)
+	}
+	r.updateOrder()
+	return true
+}
+
+func (r *Rank) prepare(c Command) {
+	if !r.mayPrepare(c) {
+		return
+	}
+	r.pending = c.Target
+	r.pendingEpoch = c.Epoch
+	r.held = false
+	r.refused = false
+	if c.Target.Forms() {
+		r.leave()
+	}
+}
+
+// mayPrepare reports whether the target follows the committed one and no other
+// target was prepared in this epoch.
+func (r *Rank) mayPrepare(c Command) bool {
+	if !r.pending.IsZero() && r.pendingEpoch >= c.Epoch {
+		return false
+	}
+	if c.Target.Forms() {
+		return c.Target.Formation == c.Epoch && c.Target.After(r.committed)
+	}
+	return c.Target.Formation == r.committed.Formation &&
+		c.Target.Index == r.committed.Index+1 &&
+		c.Target.Step > r.committed.Step
+}
+
+// leave gives up the current formation for good.
+func (r *Rank) leave() {
+	r.committed = Target{}
+	r.committedEpoch = 0
+	r.previous = 0
+	r.next = 0
+	r.entered = false
+	r.diverged = false
+}
+
+func (r *Rank) commit(c Command) {
+	if !r.held || r.pending != c.Target {
+		return
+	}
+	r.previous = r.committed.Map
+	r.committed = r.pending
+	r.committedEpoch = c.Epoch
+	r.clearPending()
+}
+
+func (r *Rank) resume(c Command) {
+	if r.pending.IsZero() || r.pending.Forms() || r.pendingEpoch >= c.Epoch {
+		return
+	}
+	// The order that follows needs a fencing number above the withdrawn one.
+	r.committedEpoch = c.Epoch
+	r.clearPending()
+}
+
+func (r *Rank) clearPending() {
+	r.pending = Target{}
+	r.pendingEpoch = 0
+	r.held = false
+	r.refused = false
+}
+
+// Observe takes in the engine's state as read back. It reports whether a new
+// report should be sent.
+func (r *Rank) Observe(s EngineState) bool {
+	before := r.facts()
+	changed := !slices.Equal(r.staged, s.Staged)
+	r.staged = slices.Clone(s.Staged)
+	if r.order.Formation != 0 {
+		r.observeFormation(s)
+	}
+	return changed || before != r.facts()
+}
+
+// facts are the parts of a report that a coordinator waits for.
+type facts struct{ held, refused, diverged bool }
+
+func (r *Rank) facts() facts { return facts{r.held, r.refused, r.diverged} }
+
+func (r *Rank) observeFormation(s EngineState) {
+	if s.Order.Formation != r.order.Formation {
+		// An engine that left the formation has lost its steps and cannot return.
+		r.diverged = r.diverged || r.entered
+		return
+	}
+	r.entered = true
+	r.diverged = r.diverged || s.Next < r.next || r.contradicts(s)
+	r.next = max(r.next, s.Next)
+	r.updateOrder()
+	r.checkHold(s)
+}
+
+// contradicts reports whether the engine's last step ran on a map that was not decided.
+func (r *Rank) contradicts(s EngineState) bool {
+	if s.Next == 0 {
+		return false
+	}
+	last := s.Next - 1
+	if last < r.committed.Step {
+		return s.LastMap != r.previous
+	}
+	promised := r.held && last >= r.pending.Step
+	return promised || s.LastMap != r.committed.Map
+}
+
+// checkHold gives or refuses the promise once the order is in force.
+func (r *Rank) checkHold(s EngineState) {
+	if r.pending.IsZero() || r.held || s.Order != r.order || !r.ready() {
+		return
+	}
+	r.held = s.Next <= r.pending.Step && slices.Contains(r.staged, r.pending.Map)
+	r.refused = !r.held
+}
+
+// ready reports whether the engine has run a step of the committed decision, so
+// that its order can describe the pending one.
+func (r *Rank) ready() bool {
+	return r.pending.Forms() || r.committed.Index == 0 || r.next > r.committed.Step
+}
+
+// Order returns the wanted state of the engine, and false if there is none. An
+// engine that diverged gets no orders until the group is formed again.
+func (r *Rank) Order() (EngineOrder, bool) {
+	return r.order, r.order.Formation != 0 && !r.diverged
+}
+
+// StageWanted returns the map whose weights the engine should load, and false if there is none.
+func (r *Rank) StageWanted() (Version, bool) {
+	if r.stage == 0 || slices.Contains(r.staged, r.stage) {
+		return 0, false
+	}
+	return r.stage, true
+}
+
+func (r *Rank) updateOrder() {
+	want := r.wantedOrder()
+	want.Turn = r.order.Turn
+	if want == r.order {
+		return
+	}
+	want.Turn++
+	r.order = want
+}
+
+func (r *Rank) wantedOrder() EngineOrder {
+	switch {
+	case r.pending.Forms():
+		return EngineOrder{Epoch: r.pendingEpoch, Formation: r.pending.Formation, Map: r.pending.Map}
+	case r.committed.IsZero():
+		return EngineOrder{}
+	case !r.pending.IsZero() && r.ready():
+		return EngineOrder{
+			Epoch: r.pendingEpoch, Formation: r.committed.Formation,
+			Map: r.committed.Map, SwitchAt: r.pending.Step,
+		}
+	case r.committed.Index == 0:
+		return EngineOrder{
+			Epoch: r.committedEpoch, Formation: r.committed.Formation,
+			Map: r.committed.Map, SwitchAt: Never,
+		}
+	}
+	return EngineOrder{
+		Epoch: r.committedEpoch, Formation: r.committed.Formation,
+		Map: r.previous, SwitchAt: r.committed.Step, Next: r.committed.Map,
+	}
+}
+
+// Report returns the rank's state with the next sequence number.
+func (r *Rank) Report() Report {
+	r.seq++
+	return Report{
+		Rank: r.index, Incarnation: r.incarnation, Seq: r.seq, Epoch: r.epoch,
+		Committed: r.committed, Pending: r.pending, PendingEpoch: r.pendingEpoch,
+		Held: r.held, Refused: r.refused, Diverged: r.diverged,
+		Next: r.next, Staged: slices.Clone(r.staged),
+	}
+}
--- /dev/null
+++ b/balance/lockstep/types.go
@@ -0,0 +1,176 @@
+package lockstep
+
+import (
+	"math"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// roundBits is the number of low bits of an Epoch that count the rounds of one lease.
+const roundBits = 16
+
+// Epoch is the fencing number of a coordinator. The upper bits hold the fencing
+// number of its lease, the lower 16 bits count the rounds of that lease.
+type Epoch uint64
+
+// NewEpoch returns the first epoch of a lease.
+func NewEpoch(lease uint64) Epoch { return Epoch(lease << roundBits) }
+
+// Lease returns the fencing number of the lease that e belongs to.
+func (e Epoch) Lease() uint64 { return uint64(e) >> roundBits }
+
+// Next returns the next epoch of the same lease, or false if the lease has none left.
+func (e Epoch) Next() (Epoch, bool) {
+	next := e + 1
+	return next, next.Lease() == e.Lease()
+}
+
+// Version identifies one expert map. Versions must be unique and grow with
+// time; zero means no map.
+type Version uint64
+
+// NewVersion returns the version of the n-th map that the holder of a lease makes.
+func NewVersion(lease uint64, n uint16) Version {
+	return Version(lease<<roundBits | uint64(n))
+}
+
+// Step numbers the steps of one formation of a group, from zero.
+type Step uint64
+
+// Never is a step that no group reaches.
+const Never Step = math.MaxUint64
+
+// Target is one decision on the map of a group: from Step on, the formation
+// uses Map until the decision with the next Index.
+type Target struct {
+	// Formation is the epoch in which the group was formed. Zero means none.
+	Formation Epoch `cbor:"1,keyasint,omitempty"`
+	// Index counts the decisions of a formation. Index zero forms the group at step zero.
+	Index uint64  `cbor:"2,keyasint,omitempty"`
+	Step  Step    `cbor:"3,keyasint,omitempty"`
+	Map   Version `cbor:"4,keyasint,omitempty"`
+}
+
+// IsZero reports whether t is no decision.
+func (t Target) IsZero() bool { return t == Target{} }
+
+// Forms reports whether t forms a group, as opposed to changing its map.
+func (t Target) Forms() bool { return !t.IsZero() && t.Index == 0 }
+
+// After reports whether t was decided later than u.
+func (t Target) After(u Target) bool {
+	if t.Formation != u.Formation {
+		return t.Formation > u.Formation
+	}
+	return t.Index > u.Index
+}
+
+// CommandKind tells what a coordinator asks of a rank.
+type CommandKind uint8
+
+const (
+	// Join asks for the promise to ignore lower epochs, and for a report.
+	Join CommandKind = iota + 1
+	// Stage asks to load the weights of a map.
+	Stage
+	// Prepare asks for the promise not to begin the target's step on the old map.
+	Prepare
+	// Commit tells that every rank gave the promise.
+	Commit
+	// Resume withdraws a promise that was given in a lower epoch.
+	Resume
+)
+
+// Command is a message from a coordinator to a rank. All commands are idempotent.
+type Command struct {
+	Kind CommandKind `cbor:"1,keyasint"`
+	Rank int         `cbor:"2,keyasint"`
+	// Incarnation is the run of the agent that the command is for. Join is for any.
+	Incarnation id.Incarnation `cbor:"3,keyasint,omitempty"`
+	Epoch       Epoch          `cbor:"4,keyasint"`
+	// Target is set for Prepare and Commit.
+	Target Target `cbor:"5,keyasint,omitempty"`
+	// Map is set for Stage.
+	Map Version `cbor:"6,keyasint,omitempty"`
+}
+
+// Report is a message from a rank to a coordinator. It always holds the whole state.
+type Report struct {
+	Rank        int            `cbor:"1,keyasint"`
+	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	// Seq counts the reports of an incarnation.
+	Seq uint64 `cbor:"3,keyasint"`
+	// Epoch is the greatest epoch that the rank joined.
+	Epoch Epoch `cbor:"4,keyasint"`
+	// Committed is the latest decision, zero for a rank outside any formation.
+	Committed Target `cbor:"5,keyasint,omitempty"`
+	// Pending is the decision that the rank was asked to promise, and PendingEpoch by whom.
+	Pending      Target `cbor:"6,keyasint,omitempty"`
+	PendingEpoch Epoch  `cbor:"7,keyasint,omitempty"`
+	// Held is the promise: the engine will not begin the step of Pending without a commit.
+	Held bool `cbor:"8,keyasint,omitempty"`
+	// Refused tells that the engine was past the step of Pending already, or
+	// does not hold the weights of its map.
+	Refused bool `cbor:"9,keyasint,omitempty"`
+	// Diverged tells that the engine ran a step against its orders.
+	Diverged bool `cbor:"10,keyasint,omitempty"`
+	// Next is the next step of the engine as last read.
+	Next Step `cbor:"11,keyasint,omitempty"`
+	// Staged are the maps whose weights the engine holds, in ascending order.
+	Staged []Version `cbor:"12,keyasint,omitempty"`
+}
+
+// HasStaged reports whether the engine holds the weights of map v.
+func (r Report) HasStaged(v Version) bool {
+	for _, s := range r.Staged {
+		if s == v {
+			return true
+		}
+	}
+	return false
+}
+
+// EngineOrder is the wanted state of an engine. For step s the engine uses Map
+// if s < SwitchAt, otherwise Next; it does not begin a step whose map is zero.
+type EngineOrder struct {
+	// Epoch and Turn are the fencing number: an engine that checks it refuses an
+	// order whose pair is lower than that of its current order.
+	Epoch     Epoch   `cbor:"1,keyasint"`
+	Turn      uint64  `cbor:"2,keyasint"`
+	Formation Epoch   `cbor:"3,keyasint"`
+	Map       Version `cbor:"4,keyasint"`
+	SwitchAt  Step    `cbor:"5,keyasint"`
+	Next      Version `cbor:"6,keyasint,omitempty"`
+}
+
+// MapAt returns the map for step s, zero if the engine must not begin it.
+func (o EngineOrder) MapAt(s Step) Version {
+	if s < o.SwitchAt {
+		return o.Map
+	}
+	return o.Next
+}
+
+// Enters reports whether o allows no step. Only such an order takes an engine
+// into another formation, which then starts at step zero.
+func (o EngineOrder) Enters() bool { return o.SwitchAt == 0 && o.Next == 0 }
+
+// Older reports whether o has a lower fencing number than p.
+func (o EngineOrder) Older(p EngineOrder) bool {
+	if o.Epoch != p.Epoch {
+		return o.Epoch < p.Epoch
+	}
+	return o.Turn < p.Turn
+}
+
+// EngineState is what an engine reports when it is read back.
+type EngineState struct {
+	// Order is the order in force, zero for an engine outside any formation.
+	Order EngineOrder
+	// Next is the next step to begin in the order's formation.
+	Next Step
+	// LastMap is the map of step Next-1, zero if there was none.
+	LastMap Version
+	// Staged are the maps whose weights are present, in ascending order.
+	Staged []Version
+}
