Add expertmap, the planner for expert placement

Weights come from ranks that hold them, spread over the senders, and from the store only for experts that no rank holds.

--- /dev/null
+++ b/balance/expertmap/source.go
@@ -0,0 +1,138 @@
+package expertmap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// align arranges the slots of target so that experts which stay on a rank keep their slot.
+func align(current, target Map) Map {
+	out := Map{Slots: make([][]Expert, len(target.Slots))}
+	for r := range target.Slots {
+		out.Slots[r] = alignRank(current.Slots[r], target.Slots[r])
+	}
+	return out
+}
+
+func alignRank(current, target []Expert) []Expert {
+	out := slices.Repeat([]Expert{NoExpert}, len(target))
+	var rest []Expert
+	for _, e := range target {
+		if e == NoExpert {
+			continue
+		}
+		if s := slices.Index(current, e); s >= 0 {
+			out[s] = e
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	for s := range out {
+		if out[s] == NoExpert && len(rest) > 0 {
+			out[s] = rest[0]
+			rest = rest[1:]
+		}
+	}
+	return out
+}
+
+// moves lists the slots of target whose weights are not on the rank yet, with a source for each.
+func moves(current, target Map) []Move {
+	var out []Move
+	for r := range target.Slots {
+		for s, e := range target.Slots[r] {
+			if e != NoExpert && !current.Holds(r, e) {
+				out = append(out, Move{Expert: e, Rank: r, Slot: s, Source: FromStore})
+			}
+		}
+	}
+	assignSources(current, out)
+	return out
+}
+
+// assignSources lets each move load from the rank that holds the expert and has
+// the fewest other loads. Experts with few holders choose first.
+func assignSources(current Map, ms []Move) {
+	holders := map[Expert][]int{}
+	for r, slots := range current.Slots {
+		for _, e := range slots {
+			if e != NoExpert {
+				holders[e] = append(holders[e], r)
+			}
+		}
+	}
+	order := make([]int, len(ms))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(len(holders[ms[a].Expert]), len(holders[ms[b].Expert]))
+	})
+	sends := make([]int, len(current.Slots))
+	for _, i := range order {
+		source := FromStore
+		for _, r := range holders[ms[i].Expert] {
+			if source == FromStore || sends[r] < sends[source] {
+				source = r
+			}
+		}
+		ms[i].Source = source
+		if source != FromStore {
+			sends[source]++
+		}
+	}
+}
+
+// plan builds the plan from current to target and weighs gain and cost.
+func plan(cfg Config, load Load, current, target Map) Plan {
+	target = align(current, target)
+	p := Plan{
+		Target: target, Moves: moves(current, target),
+		SkewBefore: current.Skew(load), SkewAfter: target.Skew(load),
+		Repairs: slices.Contains(current.Replicas(cfg.Experts), 0),
+	}
+	for _, m := range p.Moves {
+		if m.Source == FromStore {
+			p.StoreBytes += cfg.ExpertBytes
+		} else {
+			p.RankBytes += cfg.ExpertBytes
+		}
+	}
+	p.Transfer = transferTime(cfg, p)
+	p.Gain = gain(cfg, load, p)
+	if p.Changes() {
+		p.Cost = time.Duration(float64(p.Transfer)*cfg.Slowdown) + cfg.SwitchTime
+	}
+	return p
+}
+
+// transferTime returns the time of the slowest sender, receiver or the store.
+func transferTime(cfg Config, p Plan) time.Duration {
+	sends := make([]int, cfg.Ranks)
+	receives := make([]int, cfg.Ranks)
+	var most int
+	for _, m := range p.Moves {
+		receives[m.Rank]++
+		most = max(most, receives[m.Rank])
+		if m.Source != FromStore {
+			sends[m.Source]++
+			most = max(most, sends[m.Source])
+		}
+	}
+	seconds := float64(most) * float64(cfg.ExpertBytes) / cfg.RankBandwidth
+	seconds = max(seconds, float64(p.StoreBytes)/cfg.StoreBandwidth)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func gain(cfg Config, load Load, p Plan) time.Duration {
+	mean := load.Total() / float64(cfg.Ranks)
+	tokens := (p.SkewBefore - p.SkewAfter) * mean
+	steps := float64(cfg.Horizon) / float64(cfg.StepTime)
+	return time.Duration(tokens * float64(cfg.TokenTime) * steps)
+}
+
+// StepsSlowed returns the number of steps that run while weights move.
+func (p Plan) StepsSlowed(cfg Config) int {
+	return int((p.Transfer + cfg.StepTime - 1) / cfg.StepTime)
+}
