Add rank agent and coordinator duty for expert maps

Change: agent/rank runs the lockstep ranks of a host: one pass over an engine reads it back, asserts the wanted order again and never overwrites a newer one. entry/coordinator performs the duty under a lease: it forms the group, asks ranks for the layout of a map that an earlier coordinator made, plans every layer from the reported loads and stages what is missing with a source for each expert. itest/group runs 16 agents with 4 ranks each over a transport that loses, repeats, delays and reorders, with explicit ticks.

--- a/balance/expertmap/expertmap_test.go
+++ b/balance/expertmap/expertmap_test.go
@@ -101,7 +101,7 @@
 	current := Map{Slots: [][]Expert{{0}, {0}, {1}, {2}, {2}}}
 	target := Map{Slots: [][]Expert{{0}, {0}, {1}, {0}, {0}}}
 	var sources []int
-	for _, m := range moves(current, target) {
+	for _, m := range Moves(current, target) {
 		sources = append(sources, m.Source)
 	}
 	slices.Sort(sources)
--- a/balance/expertmap/source.go
+++ b/balance/expertmap/source.go
@@ -37,8 +37,8 @@
 	return out
 }
 
-// moves lists the slots of target whose weights are not on the rank yet, with a source for each.
-func moves(current, target Map) []Move {
+// Moves lists the slots of target whose weights are not on the rank yet, with a source for each.
+func Moves(current, target Map) []Move {
 	var out []Move
 	for r := range target.Slots {
 		for s, e := range target.Slots[r] {
@@ -88,7 +88,7 @@
 func plan(cfg Config, load Load, current, target Map) Plan {
 	target = align(current, target)
 	p := Plan{
-		Target: target, Moves: moves(current, target),
+		Target: target, Moves: Moves(current, target),
 		SkewBefore: current.Skew(load), SkewAfter: target.Skew(load),
 		Repairs: slices.Contains(current.Replicas(cfg.Experts), 0),
 	}
--- a/balance/lockstep/coordinator.go
+++ b/balance/lockstep/coordinator.go
@@ -78,6 +78,7 @@
 	ranks    []rankView
 	ticks    int
 	phase    Phase
+	staging  Version
 	waiting  []int
 }
 
@@ -96,6 +97,10 @@
 // Phase returns what the coordinator waits for.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
+// Staging returns the map that the ranks are to load in PhaseStaging, zero if
+// the coordinator knows of none and needs SetTarget.
+func (c *Coordinator) Staging() Version { return c.staging }
+
 // WaitsFor returns the ranks that have not done yet what the phase needs.
 func (c *Coordinator) WaitsFor() []int { return slices.Clone(c.waiting) }
 
--- a/balance/lockstep/decide.go
+++ b/balance/lockstep/decide.go
@@ -160,6 +160,7 @@
 	v := c.formVersion()
 	if v == 0 {
 		c.phase = PhaseStaging
+		c.staging = 0
 		return nil
 	}
 	if !c.stagedEverywhere(v) {
@@ -213,6 +214,7 @@
 
 func (c *Coordinator) stage(v Version) []Command {
 	c.phase = PhaseStaging
+	c.staging = v
 	return c.toEach(
 		func(i int) Command {
 			cmd := c.command(i, Stage, Target{})
--- a/balance/lockstep/rank.go
+++ b/balance/lockstep/rank.go
@@ -250,3 +250,6 @@
 		Next: r.next, Staged: slices.Clone(r.staged),
 	}
 }
+
+// Diverged reports whether the engine ran a step against its orders.
+func (r *Rank) Diverged() bool { return r.diverged }
--- /dev/null
+++ b/entry/coordinator/coordinator.go
@@ -0,0 +1,198 @@
+// Package coordinator performs the duty of deciding on the expert map of one
+// group of ranks: it forms the group, plans changes from the reported loads of
+// the experts and carries them out through package lockstep. Any number of
+// processes may perform the duty at the same time; only the one with the highest
+// lease gets decisions through.
+package coordinator
+
+import (
+	"sync"
+
+	"github.com/siskinford/siskinford/balance/expertmap"
+	"github.com/siskinford/siskinford/balance/groupmsg"
+	"github.com/siskinford/siskinford/balance/lockstep"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+)
+
+// Leases is the source of fencing numbers.
+type Leases interface {
+	// Hold returns the fencing number of the lease that this process believes to
+	// hold, and false if it holds none. It does not block; acquiring and renewing
+	// happen elsewhere. Fencing numbers of a group never repeat and only grow.
+	Hold() (number uint64, held bool)
+	// Fenced tells that a higher fencing number is in use. It does not block.
+	Fenced(number uint64)
+}
+
+// Transport carries messages to the agents of the group's ranks.
+type Transport interface {
+	// Send sends an order to its rank. It does not block and may lose the order.
+	Send(o groupmsg.Order)
+}
+
+// Config sets up a Duty.
+type Config struct {
+	// Group is the group to coordinate. It has no default.
+	Group id.Group
+	// Layers is the number of layers with experts. It has no default.
+	Layers int
+	// Shape describes each layer and the cost of a change. Ranks, Experts and
+	// SlotsPerRank have no default.
+	Shape expertmap.Config
+	// Policy plans each layer. Default expertmap.Incremental.
+	Policy expertmap.Policy
+	// Lockstep sets up the protocol. Its number of ranks is taken from Shape.
+	Lockstep lockstep.Config
+	// PlanTicks is the number of ticks between two plans. Default 600.
+	PlanTicks int
+	// Recorder receives events. Default timeline.Discard.
+	Recorder timeline.Recorder
+}
+
+const defaultPlanTicks = 600
+
+func (c Config) withDefaults() Config {
+	c.Shape = c.Shape.WithDefaults()
+	c.Lockstep.Ranks = c.Shape.Ranks
+	if c.Policy == nil {
+		c.Policy = expertmap.Incremental{Config: c.Shape}
+	}
+	if c.PlanTicks == 0 {
+		c.PlanTicks = defaultPlanTicks
+	}
+	if c.Recorder == nil {
+		c.Recorder = timeline.Discard
+	}
+	return c
+}
+
+// Duty coordinates one group while its process holds the lease. It is safe for
+// concurrent use.
+type Duty struct {
+	cfg       Config
+	leases    Leases
+	transport Transport
+
+	// mu guards the fields below. Transport and Leases are called with mu held;
+	// they must not call back.
+	mu    sync.Mutex
+	lease uint64
+	core  *lockstep.Coordinator
+	atlas *atlas
+	// made counts the maps made under the lease.
+	made      uint16
+	sincePlan int
+	phase     lockstep.Phase
+}
+
+// New returns a duty that is idle until the process holds the lease.
+func New(cfg Config, leases Leases, transport Transport) *Duty {
+	return &Duty{cfg: cfg.withDefaults(), leases: leases, transport: transport}
+}
+
+// Status is what operators see of a duty.
+type Status struct {
+	Group id.Group `json:"group"`
+	// Active is false while the process does not hold the lease.
+	Active bool           `json:"active"`
+	Epoch  lockstep.Epoch `json:"epoch"`
+	Phase  lockstep.Phase `json:"phase"`
+	// Committed is the decision that every rank has taken, if there is one.
+	Committed lockstep.Target `json:"committed"`
+	// WaitsFor are the ranks that have not done yet what the phase needs.
+	WaitsFor []int `json:"waits_for"`
+}
+
+// Status returns the current state.
+func (d *Duty) Status() Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := Status{Group: d.cfg.Group, Active: d.core != nil}
+	if d.core == nil {
+		return s
+	}
+	s.Epoch = d.core.Epoch()
+	s.Phase = d.core.Phase()
+	s.Committed, _ = d.core.Committed()
+	s.WaitsFor = d.core.WaitsFor()
+	return s
+}
+
+// Tick advances the duty. It is called at an interval and does not block.
+func (d *Duty) Tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.checkLease() {
+		return
+	}
+	d.sincePlan++
+	d.advance()
+	d.send(d.core.Tick())
+}
+
+// Receive takes in a status. It is called by the transport and does not block.
+func (d *Duty) Receive(s groupmsg.Status) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.core == nil || s.Group != d.cfg.Group {
+		return
+	}
+	if !validRank(s, d.cfg) {
+		return
+	}
+	d.atlas.take(s)
+	cmds := d.core.Receive(s.Report)
+	d.advance()
+	d.send(cmds)
+}
+
+func validRank(s groupmsg.Status, cfg Config) bool {
+	return s.Report.Rank >= 0 && s.Report.Rank < cfg.Shape.Ranks
+}
+
+// checkLease follows the lease: a new number starts a new coordinator, a lost one ends it.
+func (d *Duty) checkLease() bool {
+	number, held := d.leases.Hold()
+	if !held {
+		d.stop()
+		return false
+	}
+	if d.core != nil && number == d.lease {
+		return true
+	}
+	d.lease = number
+	d.made = 0
+	d.core = lockstep.NewCoordinator(d.cfg.Lockstep, number)
+	d.atlas = newAtlas(d.cfg)
+	d.sincePlan = 0
+	d.phase = ""
+	d.record(EventStarted, "lease %d", number)
+	return true
+}
+
+func (d *Duty) stop() {
+	if d.core == nil {
+		return
+	}
+	d.core = nil
+	d.record(EventStopped, "lease %d", d.lease)
+}
+
+// send completes the commands and hands them to the transport.
+func (d *Duty) send(cmds []lockstep.Command) {
+	for _, c := range cmds {
+		o := groupmsg.Order{Group: d.cfg.Group, Command: c}
+		switch c.Kind {
+		case lockstep.Stage:
+			w, ok := d.atlas.weights(c.Map, c.Rank)
+			if !ok {
+				continue
+			}
+			o.Weights = &w
+		case lockstep.Join:
+			o.Describe = d.atlas.wanted(c.Rank)
+		}
+		d.transport.Send(o)
+	}
+}
--- /dev/null
+++ b/entry/coordinator/plan.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/siskinford/siskinford/balance/expertmap"
+	"github.com/siskinford/siskinford/balance/lockstep"
+	"github.com/siskinford/siskinford/core/timeline"
+)
+
+// Kinds of events.
+const (
+	// EventStarted and EventStopped tell that the duty follows a lease, or lost it.
+	EventStarted timeline.Kind = "coordinator.started"
+	EventStopped timeline.Kind = "coordinator.stopped"
+	// EventPhase tells what the coordinator waits for now.
+	EventPhase timeline.Kind = "coordinator.phase"
+	// EventPlanned tells the figures of a change that was set out on.
+	EventPlanned timeline.Kind = "coordinator.planned"
+)
+
+var (
+	plansMade   = metrics.NewCounter(`siskinford_expertmap_plans_total`)
+	bytesRanks  = metrics.NewCounter(`siskinford_expertmap_bytes_total{source="rank"}`)
+	bytesStore  = metrics.NewCounter(`siskinford_expertmap_bytes_total{source="store"}`)
+	timesFenced = metrics.NewCounter(`siskinford_coordinator_fenced_total`)
+)
+
+// advance notes the phase, keeps the atlas up to date and plans if it is time to.
+func (d *Duty) advance() {
+	d.notePhase()
+	reports, ok := d.reports()
+	if !ok || d.phase == lockstep.PhaseFenced {
+		return
+	}
+	d.atlas.update(reports)
+	held, ok := d.atlas.held()
+	if !ok {
+		return
+	}
+	switch d.phase {
+	case lockstep.PhaseStaging:
+		d.planMissing(held)
+	case lockstep.PhaseSteady:
+		d.planLoad(held)
+	}
+}
+
+func (d *Duty) notePhase() {
+	phase := d.core.Phase()
+	if phase == d.phase {
+		return
+	}
+	d.phase = phase
+	d.record(EventPhase, "%s at epoch %d, waits for ranks %v", phase, d.core.Epoch(), d.core.WaitsFor())
+	if phase == lockstep.PhaseFenced {
+		timesFenced.Inc()
+		d.leases.Fenced(d.lease)
+	}
+}
+
+// reports returns the reports of all ranks in the current epoch.
+func (d *Duty) reports() ([]lockstep.Report, bool) {
+	out := make([]lockstep.Report, d.cfg.Shape.Ranks)
+	for i := range out {
+		r, ok := d.core.Report(i)
+		if !ok {
+			return nil, false
+		}
+		out[i] = r
+	}
+	return out, true
+}
+
+// planMissing makes a map if the one to stage is not known to this coordinator,
+// as for a new group, or after a rank was replaced under a new coordinator.
+func (d *Duty) planMissing(held layers) {
+	wanted := d.core.Staging()
+	if wanted != 0 && d.atlas.knows(wanted) {
+		return
+	}
+	load, ok := d.atlas.load(held)
+	if !ok {
+		load = d.uniformLoad()
+	}
+	d.set(d.plan(held, load))
+}
+
+func (d *Duty) uniformLoad() []expertmap.Load {
+	out := make([]expertmap.Load, d.cfg.Layers)
+	for i := range out {
+		out[i] = make(expertmap.Load, d.cfg.Shape.Experts)
+		for e := range out[i] {
+			out[i][e] = 1
+		}
+	}
+	return out
+}
+
+// planLoad plans a change for the reported load, at an interval.
+func (d *Duty) planLoad(held layers) {
+	if d.sincePlan < d.cfg.PlanTicks {
+		return
+	}
+	load, ok := d.atlas.load(held)
+	if !ok {
+		return
+	}
+	d.sincePlan = 0
+	d.atlas.forgetLoads()
+	p := d.plan(held, load)
+	if p.moves > 0 {
+		d.set(p)
+	}
+}
+
+// proposal is the plan of all layers.
+type proposal struct {
+	target     layers
+	moves      int
+	rankBytes  int64
+	storeBytes int64
+	gain, cost time.Duration
+}
+
+func (d *Duty) plan(held layers, load []expertmap.Load) proposal {
+	p := proposal{target: make(layers, len(held))}
+	for i := range held {
+		layer := d.cfg.Policy.Plan(held[i], load[i])
+		p.target[i] = layer.Target
+		p.moves += len(layer.Moves)
+		p.rankBytes += layer.RankBytes
+		p.storeBytes += layer.StoreBytes
+		p.gain += layer.Gain
+		p.cost += layer.Cost
+	}
+	return p
+}
+
+// set makes the proposal the target of the group.
+func (d *Duty) set(p proposal) {
+	d.made++
+	v := lockstep.NewVersion(d.lease, d.made)
+	d.atlas.add(v, p.target)
+	d.core.SetTarget(v)
+	plansMade.Inc()
+	bytesRanks.AddInt64(p.rankBytes)
+	bytesStore.AddInt64(p.storeBytes)
+	d.record(EventPlanned, "map %d: %d moves, %d bytes from ranks, %d from the store, gain %s, cost %s",
+		v, p.moves, p.rankBytes, p.storeBytes, p.gain, p.cost)
+}
+
+func (d *Duty) record(kind timeline.Kind, format string, args ...any) {
+	d.cfg.Recorder.Record(timeline.Event{
+		Kind: kind, Duty: string(d.cfg.Group), Detail: fmt.Sprintf(format, args...),
+	})
+}
--- /dev/null
+++ b/itest/group/engine_test.go
@@ -0,0 +1,213 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/balance/expertmap"
+	"github.com/siskinford/siskinford/balance/groupmsg"
+	"github.com/siskinford/siskinford/balance/lockstep"
+)
+
+var (
+	errStalled = errors.New("engine does not answer")
+	errFenced  = errors.New("order has an old fencing number")
+	errOutside = errors.New("engine is not in the order's formation")
+)
+
+// loadRounds is the number of rounds that loading weights takes.
+const loadRounds = 2
+
+// engine is a fake engine of one rank.
+type engine struct {
+	rank        int
+	ignoreFence bool
+
+	mu      sync.Mutex
+	stalled bool
+	state   lockstep.EngineState
+	layouts map[lockstep.Version]groupmsg.Layout
+	loading map[lockstep.Version]int
+	counts  groupmsg.Loads
+}
+
+func newEngine(rank int, ignoreFence bool) *engine {
+	return &engine{
+		rank: rank, ignoreFence: ignoreFence,
+		layouts: map[lockstep.Version]groupmsg.Layout{}, loading: map[lockstep.Version]int{},
+	}
+}
+
+func (e *engine) ReadState(context.Context) (lockstep.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stalled {
+		return lockstep.EngineState{}, errStalled
+	}
+	s := e.state
+	s.Staged = slices.Clone(s.Staged)
+	return s, nil
+}
+
+func (e *engine) SetMap(_ context.Context, o lockstep.EngineOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.stalled:
+		return errStalled
+	case !e.ignoreFence && o.Older(e.state.Order):
+		return errFenced
+	case o.Formation != e.state.Order.Formation && !o.Enters():
+		return errOutside
+	}
+	if o.Formation != e.state.Order.Formation {
+		e.state.Next, e.state.LastMap = 0, 0
+	}
+	e.state.Order = o
+	return nil
+}
+
+func (e *engine) StageWeights(_ context.Context, w groupmsg.Weights) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stalled {
+		return errStalled
+	}
+	if e.layouts[w.Map] == nil {
+		e.layouts[w.Map] = w.Layout
+		e.loading[w.Map] = loadRounds
+	}
+	return nil
+}
+
+func (e *engine) Layout(_ context.Context, v lockstep.Version) (groupmsg.Layout, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stalled || e.layouts[v] == nil {
+		return nil, errStalled
+	}
+	return e.layouts[v], nil
+}
+
+func (e *engine) Loads(context.Context) (groupmsg.Loads, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stalled {
+		return groupmsg.Loads{}, errStalled
+	}
+	l := e.counts
+	e.counts = groupmsg.Loads{}
+	return l, nil
+}
+
+// advanceLoading lets weights arrive.
+func (e *engine) advanceLoading() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for v, left := range e.loading {
+		if left > 1 {
+			e.loading[v] = left - 1
+			continue
+		}
+		delete(e.loading, v)
+		e.state.Staged = append(e.state.Staged, v)
+		slices.Sort(e.state.Staged)
+	}
+}
+
+// nextMap returns the map of the step that the engine may begin, zero for none.
+func (e *engine) nextMap() lockstep.Version {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.state.Order.MapAt(e.state.Next)
+	if e.stalled || !slices.Contains(e.state.Staged, v) {
+		return 0
+	}
+	return v
+}
+
+// step runs one step on map v; replicas counts the replicas of each expert by layer.
+func (e *engine) step(v lockstep.Version, load []expertmap.Load, replicas [][]int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.counts.Map != v {
+		e.counts = groupmsg.Loads{Map: v, Tokens: make([][]uint64, len(load))}
+	}
+	for i, slots := range e.layouts[v] {
+		if e.counts.Tokens[i] == nil {
+			e.counts.Tokens[i] = make([]uint64, len(slots))
+		}
+		for s, x := range slots {
+			if x != expertmap.NoExpert {
+				e.counts.Tokens[i][s] += uint64(load[i][x]) / uint64(replicas[i][x])
+			}
+		}
+	}
+	e.counts.Steps++
+	e.state.Next++
+	e.state.LastMap = v
+}
+
+// snapshot returns the state without regard to a stall.
+func (e *engine) snapshot() lockstep.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
+func (e *engine) layout(v lockstep.Version) groupmsg.Layout {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.layouts[v]
+}
+
+func (e *engine) setStalled(stalled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = stalled
+}
+
+type stepKey struct {
+	formation lockstep.Epoch
+	step      lockstep.Step
+}
+
+// witness records the map of every step.
+type witness struct {
+	maps  map[stepKey]lockstep.Version
+	ranks map[stepKey]int
+	first lockstep.Epoch
+}
+
+func newWitness() *witness {
+	return &witness{maps: map[stepKey]lockstep.Version{}, ranks: map[stepKey]int{}}
+}
+
+// begin records that a rank ran a step and returns an error if the group split.
+func (w *witness) begin(rank int, key stepKey, v lockstep.Version) error {
+	if used, ok := w.maps[key]; ok && used != v {
+		return fmt.Errorf("step %d of formation %d: rank %d uses map %d, another rank used %d", key.step, key.formation, rank, v, used)
+	}
+	if key.formation < w.first {
+		return fmt.Errorf("rank %d began a step in formation %d after formation %d ran", rank, key.formation, w.first)
+	}
+	w.maps[key] = v
+	w.ranks[key]++
+	w.first = key.formation
+	return nil
+}
+
+// completed returns the number of steps that all of n ranks ran.
+func (w *witness) completed(n int) int {
+	var count int
+	for _, ranks := range w.ranks {
+		if ranks == n {
+			count++
+		}
+	}
+	return count
+}
