--- a/balance/expertmap/types.go
+++ b/balance/expertmap/types.go
@@ -137,11 +137,11 @@
 
 // Move loads the weights of an expert into a slot.
 type Move struct {
-	Expert Expert `json:"expert"`
-	Rank   int    `json:"rank"`
-	Slot   int    `json:"slot"`
+	Expert Expert `json:"expert" cbor:"1,keyasint"`
+	Rank   int    `json:"rank" cbor:"2,keyasint"`
+	Slot   int    `json:"slot" cbor:"3,keyasint"`
 	// Source is the rank to load from, or FromStore.
-	Source int `json:"source"`
+	Source int `json:"source" cbor:"4,keyasint"`
 }
 
 // Plan is a proposed change of the map of one layer.
--- a/entry/coordinator/atlas.go
+++ b/entry/coordinator/atlas.go
@@ -27,6 +27,10 @@
 	loads []*groupmsg.Loads
 	// reports are the latest reports, by rank.
 	reports []lockstep.Report
+	// moves are those from what the ranks hold to the map movesTo, by rank, then
+	// layer. They are dropped when what the ranks hold changes.
+	moves   [][][]expertmap.Move
+	movesTo lockstep.Version
 }
 
 func newAtlas(cfg Config) *atlas {
@@ -41,6 +45,7 @@
 	a.holds = make([]bool, n)
 	a.layouts = make([]groupmsg.Layout, n)
 	a.loads = make([]*groupmsg.Loads, n)
+	a.moves = nil
 }
 
 // take stores what a status tells.
@@ -94,7 +99,10 @@
 	}
 	for i, r := range reports {
 		replaced := r.Incarnation != a.reports[i].Incarnation
-		a.holds[i] = r.HasStaged(base)
+		if holds := r.HasStaged(base); holds != a.holds[i] {
+			a.holds[i] = holds
+			a.moves = nil
+		}
 		if replaced || !a.holds[i] {
 			a.layouts[i], a.loads[i] = nil, nil
 		}
@@ -142,22 +150,36 @@
 // weights returns what a rank has to load for a map made by this coordinator.
 func (a *atlas) weights(v lockstep.Version, rank int) (groupmsg.Weights, bool) {
 	target := a.made[v]
-	held, ok := a.held()
-	if target == nil || !ok {
+	if target == nil || !a.planMoves(v, target) {
 		return groupmsg.Weights{}, false
 	}
-	w := groupmsg.Weights{Map: v}
+	w := groupmsg.Weights{Map: v, Moves: a.moves[rank]}
 	for i := range target {
 		w.Layout = append(w.Layout, target[i].Slots[rank])
-		var own []expertmap.Move
+	}
+	return w, true
+}
+
+// planMoves fills moves, and returns false while the layout of a rank is missing.
+func (a *atlas) planMoves(v lockstep.Version, target layers) bool {
+	if a.moves != nil && a.movesTo == v {
+		return true
+	}
+	held, ok := a.held()
+	if !ok {
+		return false
+	}
+	a.movesTo = v
+	a.moves = make([][][]expertmap.Move, a.cfg.Shape.Ranks)
+	for r := range a.moves {
+		a.moves[r] = make([][]expertmap.Move, a.cfg.Layers)
+	}
+	for i := range target {
 		for _, m := range expertmap.Moves(held[i], target[i]) {
-			if m.Rank == rank {
-				own = append(own, m)
-			}
+			a.moves[m.Rank][i] = append(a.moves[m.Rank][i], m)
 		}
-		w.Moves = append(w.Moves, own)
 	}
-	return w, true
+	return true
 }
 
 // load returns the tokens per step of each expert and layer, and false while a
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -141,7 +141,9 @@
 	if !validRank(s, d.cfg) {
 		return
 	}
-	d.atlas.take(s)
+	if s.Report.Epoch == d.core.Epoch() {
+		d.atlas.take(s)
+	}
 	cmds := d.core.Receive(s.Report)
 	d.advance()
 	d.send(cmds)
--- a/entry/coordinator/plan.go
+++ b/entry/coordinator/plan.go
@@ -37,15 +37,11 @@
 		return
 	}
 	d.atlas.update(reports)
-	held, ok := d.atlas.held()
-	if !ok {
-		return
-	}
 	switch d.phase {
 	case lockstep.PhaseStaging:
-		d.planMissing(held)
+		d.planMissing()
 	case lockstep.PhaseSteady:
-		d.planLoad(held)
+		d.planLoad()
 	}
 }
 
@@ -77,11 +73,15 @@
 
 // planMissing makes a map if the one to stage is not known to this coordinator,
 // as for a new group, or after a rank was replaced under a new coordinator.
-func (d *Duty) planMissing(held layers) {
+func (d *Duty) planMissing() {
 	wanted := d.core.Staging()
 	if wanted != 0 && d.atlas.knows(wanted) {
 		return
 	}
+	held, ok := d.atlas.held()
+	if !ok {
+		return
+	}
 	load, ok := d.atlas.load(held)
 	if !ok {
 		load = d.uniformLoad()
@@ -101,10 +101,14 @@
 }
 
 // planLoad plans a change for the reported load, at an interval.
-func (d *Duty) planLoad(held layers) {
+func (d *Duty) planLoad() {
 	if d.sincePlan < d.cfg.PlanTicks {
 		return
 	}
+	held, ok := d.atlas.held()
+	if !ok {
+		return
+	}
 	load, ok := d.atlas.load(held)
 	if !ok {
 		return
--- a/itest/group/engine_test.go
+++ b/itest/group/engine_test.go
@@ -33,6 +33,10 @@
 	layouts map[lockstep.Version]groupmsg.Layout
 	loading map[lockstep.Version]int
 	counts  groupmsg.Loads
+	// delay is the number of rounds after which an accepted order takes effect.
+	delay   int
+	delayed *lockstep.EngineOrder
+	left    int
 }
 
 func newEngine(rank int, ignoreFence bool) *engine {
@@ -64,11 +68,19 @@
 	case o.Formation != e.state.Order.Formation && !o.Enters():
 		return errOutside
 	}
+	if e.delay == 0 {
+		e.apply(o)
+	} else if e.delayed == nil {
+		e.delayed, e.left = &o, e.delay
+	}
+	return nil
+}
+
+func (e *engine) apply(o lockstep.EngineOrder) {
 	if o.Formation != e.state.Order.Formation {
 		e.state.Next, e.state.LastMap = 0, 0
 	}
 	e.state.Order = o
-	return nil
 }
 
 func (e *engine) StageWeights(_ context.Context, w groupmsg.Weights) error {
@@ -104,10 +116,17 @@
 	return l, nil
 }
 
-// advanceLoading lets weights arrive.
-func (e *engine) advanceLoading() {
+// advance lets weights arrive and delayed orders take effect.
+func (e *engine) advance() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.delayed != nil {
+		e.left--
+		if e.left == 0 {
+			e.apply(*e.delayed)
+			e.delayed = nil
+		}
+	}
 	for v, left := range e.loading {
 		if left > 1 {
 			e.loading[v] = left - 1
@@ -165,6 +184,12 @@
 	return e.layouts[v]
 }
 
+func (e *engine) setDelay(rounds int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = rounds
+}
+
 func (e *engine) setStalled(stalled bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/itest/group/group_test.go
+++ b/itest/group/group_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"strconv"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -62,6 +64,12 @@
 			w.round()
 		}
 	}},
+	{"earlier agent with a pending formation wakes", func(w *world) { w.earlierAgentForms() }},
+	{"engine applies orders late", func(w *world) {
+		w.engines[5].setDelay(4)
+		w.newMap()
+		w.engines[5].setDelay(0)
+	}},
 	{"paused coordinator, stalled rank and replaced host", func(w *world) {
 		w.stalledRank(lockstep.PhaseChanging)
 		w.pausedCoordinator(lockstep.PhaseChanging)
@@ -95,6 +103,22 @@
 	w.engines[17].setStalled(false)
 }
 
+// earlierAgentForms wakes an agent whose order would take the engine out of the
+// formation that its successor joined.
+func (w *world) earlierAgentForms() {
+	w.agents[1] = w.newAgent(1)
+	w.until(limit, "pending formation", func() bool { return w.engines[0].snapshot().Order.Enters() })
+	earlier := w.agents[0]
+	w.agents[0] = w.newAgent(0)
+	w.newMap()
+	formation := w.engines[0].snapshot().Order.Formation
+	for range 20 {
+		earlier.Tick(context.Background())
+		w.round()
+	}
+	assert.Equal(w.t, w.engines[0].snapshot().Order.Formation, formation)
+}
+
 // replaceHost puts an empty host with new engines in place of one.
 func (w *world) replaceHost(a int) {
 	for i := range ranksPerAgent {
@@ -104,11 +128,31 @@
 	w.agents[a] = w.newAgent(a)
 }
 
-// TestFaults verifies that the group never splits and that a new map takes hold afterwards.
+const (
+	// seedsVariable sets the number of seeds per fault.
+	seedsVariable = "GROUP_SEEDS"
+	defaultSeeds  = 3
+)
+
+func seedCount(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv(seedsVariable)
+	if text == "" {
+		return defaultSeeds
+	}
+	n, err := strconv.ParseUint(text, 10, 16)
+	assert.NilError(t, err)
+	return n
+}
+
+// TestFaults verifies that the group never splits and that a new map takes hold
+// afterwards. A longer run:
+//
+//	GROUP_SEEDS=40 go test ./itest/group -run TestFaults -v -timeout 20m
 func TestFaults(t *testing.T) {
 	for _, fault := range faults {
 		t.Run(fault.name, func(t *testing.T) {
-			for seed := range uint64(3) {
+			for seed := range seedCount(t) {
 				w := newWorld(t, seed)
 				formed := w.until(limit, "first map", func() bool { return w.runsOne() != 0 })
 				w.lossy = true
--- a/itest/group/world_test.go
+++ b/itest/group/world_test.go
@@ -167,7 +167,7 @@
 	w.eachAgent(func(a int) { w.agents[a].Tick(context.Background()) })
 	w.deliverStatuses()
 	for _, e := range w.engines {
-		e.advanceLoading()
+		e.advance()
 	}
 	for range stepsPerRound {
 		w.step()
