--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -21,7 +21,8 @@
 	// hold, and false if it holds none. It does not block; acquiring and renewing
 	// happen elsewhere. Fencing numbers of a group never repeat and only grow.
 	Hold() (number uint64, held bool)
-	// Fenced tells that a higher fencing number is in use. It does not block.
+	// Fenced tells that the number can no longer be used, mostly because a higher
+	// one is in use. A new number is needed to go on. It does not block.
 	Fenced(number uint64)
 }
 
--- a/entry/coordinator/coordinator_test.go
+++ b/entry/coordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -172,3 +173,13 @@
 	}
 	assert.Equal(t, moves, 4)
 }
+
+// TestVersionsNeverRepeat verifies that a lease without versions left is given up.
+func TestVersionsNeverRepeat(t *testing.T) {
+	d, l, _ := newTestDuty()
+	d.Tick()
+	d.made = math.MaxUint16
+	d.set(proposal{})
+	assert.DeepEqual(t, l.fenced, []uint64{1})
+	assert.Equal(t, d.made, uint16(math.MaxUint16))
+}
--- a/entry/coordinator/plan.go
+++ b/entry/coordinator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -146,6 +147,11 @@
 
 // set makes the proposal the target of the group.
 func (d *Duty) set(p proposal) {
+	if d.made == math.MaxUint16 {
+		// The lease has no versions left.
+		d.leases.Fenced(d.lease)
+		return
+	}
 	d.made++
 	v := lockstep.NewVersion(d.lease, d.made)
 	d.atlas.add(v, p.target)
