Name ranks whose engine does not answer

Cause: a rank with a stalled engine still answered polls through its agent, so that a steady group stood still without the coordinator naming the rank, and a change could be started that would only wait.

Change: a rank stays silent while its engine does not answer. The coordinator starts no change then, lists silent ranks in its status and records coordinator.silent-ranks. The group test asserts that rank 17 is named, the agent test that the rank is silent.

--- a/agent/rank/member.go
+++ b/agent/rank/member.go
@@ -71,8 +71,11 @@
 	if !m.receive(o) {
 		return
 	}
-	m.sync(ctx)
-	m.report(ctx, false)
+	// A rank whose engine does not answer stays silent, so that the coordinator
+	// starts no change and names the rank.
+	if _, ok := m.sync(ctx); ok {
+		m.report(ctx, false)
+	}
 }
 
 // receive hands the command to the state machine and reports whether to answer.
@@ -94,32 +97,34 @@
 	m.ticks++
 	due := m.ticks%m.loadTicks == 0
 	m.mu.Unlock()
-	if m.sync(ctx) || due {
+	changed, ok := m.sync(ctx)
+	if ok && (changed || due) {
 		m.report(ctx, due)
 	}
 }
 
 // sync makes one pass: it reads the engine, asserts what is wanted, and reads it
-// again if it gave an order. It reports whether the coordinator should hear.
-func (m *member) sync(ctx context.Context) bool {
+// again if it gave an order. It returns whether the coordinator should hear of a
+// change, and whether the engine answered.
+func (m *member) sync(ctx context.Context) (changed, ok bool) {
 	m.pass.Lock()
 	defer m.pass.Unlock()
-	changed, todo, err := m.observe(ctx)
-	if err != nil {
-		return false
+	changed, todo, ok := m.observe(ctx)
+	if !ok {
+		return false, false
 	}
 	if todo.stage != nil {
 		m.check(m.engine.StageWeights(ctx, *todo.stage))
 	}
 	if todo.order == nil {
-		return changed
+		return changed, true
 	}
 	if !m.check(m.engine.SetMap(ctx, *todo.order)) {
-		return changed
+		return changed, true
 	}
 	m.record(EventOrdered, "%+v", *todo.order)
 	again, _, _ := m.observe(ctx)
-	return changed || again
+	return changed || again, true
 }
 
 // todo is what one pass has to do at the engine.
@@ -128,20 +133,20 @@
 	stage *groupmsg.Weights
 }
 
-func (m *member) observe(ctx context.Context) (changed bool, t todo, err error) {
+func (m *member) observe(ctx context.Context) (changed bool, t todo, ok bool) {
 	state, err := m.engine.ReadState(ctx)
 	if !m.check(err) {
-		return false, todo{}, err
+		return false, todo{}, false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed = m.rank.Observe(state)
 	m.noteDivergence()
-	if v, ok := m.rank.StageWanted(); ok && m.weights != nil && m.weights.Map == v {
+	if v, wanted := m.rank.StageWanted(); wanted && m.weights != nil && m.weights.Map == v {
 		t.stage = m.weights
 	}
 	t.order = m.orderFor(state)
-	return changed, t, nil
+	return changed, t, true
 }
 
 // orderFor returns the order to give, nil if the engine shows the wanted one or
--- a/agent/rank/rank_test.go
+++ b/agent/rank/rank_test.go
@@ -133,8 +133,12 @@
 	f.engine.state.Staged = append(f.engine.state.Staged, 2)
 	f.engine.err = errDown
 	change := lockstep.Target{Formation: f.epoch, Index: 1, Step: 9, Map: 2}
+	count := len(f.sent.statuses)
 	f.handle(lockstep.Prepare, change)
-	assert.Assert(t, !f.sent.last().Report.Held)
+	for range 3 {
+		f.agent.Tick(context.Background())
+	}
+	assert.Equal(t, len(f.sent.statuses), count, "rank without its engine is not silent")
 	f.engine.err = nil
 	f.agent.Tick(context.Background())
 	assert.Assert(t, f.sent.last().Report.Held)
--- a/balance/lockstep/coordinator.go
+++ b/balance/lockstep/coordinator.go
@@ -104,6 +104,17 @@
 // WaitsFor returns the ranks that have not done yet what the phase needs.
 func (c *Coordinator) WaitsFor() []int { return slices.Clone(c.waiting) }
 
+// Silent returns the ranks without a recent report.
+func (c *Coordinator) Silent() []int {
+	var silent []int
+	for i := range c.ranks {
+		if c.ranks[i].age > c.cfg.FreshTicks {
+			silent = append(silent, i)
+		}
+	}
+	return silent
+}
+
 // Committed returns the decision that every rank has committed, and false if there is none.
 func (c *Coordinator) Committed() (Target, bool) {
 	if !c.allJoined() {
--- a/balance/lockstep/decide.go
+++ b/balance/lockstep/decide.go
@@ -129,7 +129,7 @@
 	if resume := c.resume(); len(resume) > 0 {
 		return resume
 	}
-	if c.target <= top.Map || !c.fresh() {
+	if c.target <= top.Map || len(c.Silent()) > 0 {
 		c.phase = PhaseSteady
 		return nil
 	}
@@ -234,16 +234,6 @@
 	return true
 }
 
-// fresh reports whether every rank answered lately.
-func (c *Coordinator) fresh() bool {
-	for i := range c.ranks {
-		if c.ranks[i].age > c.cfg.FreshTicks {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Coordinator) greatestNext() Step {
 	var next Step
 	for i := range c.ranks {
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -85,6 +85,7 @@
 	made      uint16
 	sincePlan int
 	phase     lockstep.Phase
+	silent    []int
 }
 
 // New returns a duty that is idle until the process holds the lease.
@@ -103,6 +104,8 @@
 	Committed lockstep.Target `json:"committed"`
 	// WaitsFor are the ranks that have not done yet what the phase needs.
 	WaitsFor []int `json:"waits_for"`
+	// Silent are the ranks whose agent or engine has not answered lately.
+	Silent []int `json:"silent"`
 }
 
 // Status returns the current state.
@@ -117,6 +120,7 @@
 	s.Phase = d.core.Phase()
 	s.Committed, _ = d.core.Committed()
 	s.WaitsFor = d.core.WaitsFor()
+	s.Silent = d.core.Silent()
 	return s
 }
 
@@ -130,6 +134,7 @@
 	d.sincePlan++
 	d.advance()
 	d.send(d.core.Tick())
+	d.noteSilent()
 }
 
 // Receive takes in a status. It is called by the transport and does not block.
@@ -170,6 +175,7 @@
 	d.atlas = newAtlas(d.cfg)
 	d.sincePlan = 0
 	d.phase = ""
+	d.silent = nil
 	d.record(EventStarted, "lease %d", number)
 	return true
 }
--- a/entry/coordinator/plan.go
+++ b/entry/coordinator/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,8 @@
 	EventStopped timeline.Kind = "coordinator.stopped"
 	// EventPhase tells what the coordinator waits for now.
 	EventPhase timeline.Kind = "coordinator.phase"
+	// EventSilent tells which ranks have not answered lately.
+	EventSilent timeline.Kind = "coordinator.silent-ranks"
 	// EventPlanned tells the figures of a change that was set out on.
 	EventPlanned timeline.Kind = "coordinator.planned"
 )
@@ -59,6 +62,15 @@
 	}
 }
 
+func (d *Duty) noteSilent() {
+	silent := d.core.Silent()
+	if slices.Equal(silent, d.silent) {
+		return
+	}
+	d.silent = silent
+	d.record(EventSilent, "ranks %v", silent)
+}
+
 // reports returns the reports of all ranks in the current epoch.
 func (d *Duty) reports() ([]lockstep.Report, bool) {
 	out := make([]lockstep.Report, d.cfg.Shape.Ranks)
--- a/itest/group/group_test.go
+++ b/itest/group/group_test.go
@@ -100,6 +100,7 @@
 		w.round()
 	}
 	assert.Assert(w.t, w.witness.completed(ranks) <= before+1, "steps completed without rank 17")
+	assert.DeepEqual(w.t, w.active().duty.Status().Silent, []int{17})
 	w.engines[17].setStalled(false)
 }
 
