Use each lease number for one coordinator only

Cause: a duty whose lease was given up and showed again with the same number started a second coordinator in the same epochs and repeated map versions.

Change: a number that is not greater than the last one used is handed back with Fenced. TestLeaseNumberIsUsedOnce failed before (two orders sent), passes now.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -19,7 +19,8 @@
 type Leases interface {
 	// Hold returns the fencing number of the lease that this process believes to
 	// hold, and false if it holds none. It does not block; acquiring and renewing
-	// happen elsewhere. Fencing numbers of a group never repeat and only grow.
+	// happen elsewhere. Fencing numbers of a group start at one, never repeat and
+	// only grow; a process that starts again gets a new one.
 	Hold() (number uint64, held bool)
 	// Fenced tells that the number can no longer be used, mostly because a higher
 	// one is in use. A new number is needed to go on. It does not block.
@@ -169,6 +170,17 @@
 	if d.core != nil && number == d.lease {
 		return true
 	}
+	if number <= d.lease {
+		// Epochs and versions of a used lease would repeat.
+		d.stop()
+		d.leases.Fenced(number)
+		return false
+	}
+	d.start(number)
+	return true
+}
+
+func (d *Duty) start(number uint64) {
 	d.lease = number
 	d.made = 0
 	d.core = lockstep.NewCoordinator(d.cfg.Lockstep, number)
@@ -177,7 +189,6 @@
 	d.phase = ""
 	d.silent = nil
 	d.record(EventStarted, "lease %d", number)
-	return true
 }
 
 func (d *Duty) stop() {
--- a/entry/coordinator/coordinator_test.go
+++ b/entry/coordinator/coordinator_test.go
@@ -73,6 +73,27 @@
 	assert.Equal(t, len(s.take()), 0)
 }
 
+// TestLeaseNumberIsUsedOnce verifies that a lease which was given up and shows
+// again with the same number gets no second coordinator: its epochs and versions
+// would repeat.
+func TestLeaseNumberIsUsedOnce(t *testing.T) {
+	d, l, s := newTestDuty()
+	d.Tick()
+	s.take()
+	l.held = false
+	d.Tick()
+	for _, number := range []uint64{1, 0} {
+		l.number, l.held = number, true
+		d.Tick()
+		assert.Equal(t, len(s.take()), 0, "lease %d", number)
+		assert.Assert(t, !d.Status().Active, "lease %d", number)
+	}
+	assert.DeepEqual(t, l.fenced, []uint64{1, 0})
+	l.number = 2
+	d.Tick()
+	assert.Assert(t, d.Status().Active)
+}
+
 func TestIgnoresStrayStatus(t *testing.T) {
 	d, _, s := newTestDuty()
 	d.Receive(running(0, lockstep.NewEpoch(1), 1))
