--- a/cmd/siskinford-lab/main.go
+++ b/cmd/siskinford-lab/main.go
@@ -10,8 +10,10 @@
 	"github.com/google/subcommands"
 
 	"github.com/siskinford/siskinford/lab/demo"
+	"github.com/siskinford/siskinford/lab/load"
 	"github.com/siskinford/siskinford/lab/measure"
 	"github.com/siskinford/siskinford/lab/serve"
+	"github.com/siskinford/siskinford/lab/slopes"
 )
 
 func main() {
@@ -19,6 +21,8 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&demo.Command{}, "fleet")
 	subcommands.Register(&measure.Path{}, "measurements")
+	subcommands.Register(&load.Command{}, "measurements")
+	subcommands.Register(&slopes.Command{}, "measurements")
 	subcommands.Register(&serve.Platform{}, "stand-ins")
 	subcommands.Register(&serve.Engine{}, "stand-ins")
 	subcommands.Register(&serve.Plain{}, "stand-ins")
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -36,6 +36,9 @@
 	// ReadyDelay is the time between the first failing answer of /readyz and the
 	// end of accepting connections at shutdown. Default: 0.
 	ReadyDelay time.Duration
+	// Admission refuses requests that cannot meet their deadline and holds teams
+	// to their share while others wait. Default: true.
+	Admission bool
 	// KeyRetention is the age at which an idempotency key made by a caller
 	// expires. It must be below the agents' retention of actions. Default: 30 min.
 	KeyRetention time.Duration
@@ -54,6 +57,7 @@
 		OperatorListen: "127.0.0.1:8081",
 		PeerListen:     "127.0.0.1:8082",
 		Policy:         route.PredictedTime,
+		Admission:      true,
 		KeyRetention:   30 * time.Minute,
 		Events:         20_000,
 		Caller:         caller.DefaultConfig(),
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -13,6 +13,7 @@
 	s.Address(&c.PeerAddress, "peer-address", "UDP address under which other entries reach this one; empty means peer-listen")
 	settings.Text(s, &c.Policy, "policy", "Routing policy: predicted-time, round-robin or least-connections")
 	s.Duration(&c.ReadyDelay, "ready-delay", "Time between failing /readyz and refusing connections at shutdown")
+	s.Bool(&c.Admission, "admission", "Refuse requests that cannot meet their deadline, and share capacity between teams")
 	s.Duration(&c.KeyRetention, "key-retention", "Age at which an idempotency key made by a caller expires")
 	s.Int(&c.Events, "events", "events", "Events that the time line keeps")
 	s.Int(&c.Caller.MaxTokens, "max-tokens", "tokens", "Largest answer that a caller may ask for")
--- /dev/null
+++ b/lab/load/plot.go
@@ -0,0 +1,39 @@
+package load
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// draw plots requests sent and good answers over time for each variant.
+func draw(path string, s Scenario, results []Result) error {
+	p := plot.New()
+	p.Title.Text = s.Name + ": " + s.About
+	p.X.Label.Text = "time in s"
+	p.Y.Label.Text = "requests per second"
+	p.Legend.Top = true
+	lines := []any{"sent", points(results[0].Course.At, results[0].Course.Sent)}
+	for _, r := range results {
+		lines = append(lines, "good, "+r.Variant, points(r.Course.At, r.Course.Good))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func points(x, y []float64) plotter.XYs {
+	out := make(plotter.XYs, len(x))
+	for i := range x {
+		out[i].X, out[i].Y = x[i], y[i]
+	}
+	return out
+}
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -33,6 +33,8 @@
 	// Zones are used in turn for entries and agents. Default: lima-a.
 	Zones   []id.Zone
 	Entries int
+	// Teams is the number of teams. Default: 1.
+	Teams int
 	// Models and Plains are the numbers of endpoints of each service.
 	Models, Plains int
 	// NoProxy lets entries reach agents directly.
@@ -234,7 +236,10 @@
 	for _, e := range c.Endpoints {
 		endpoints.Endpoints = append(endpoints.Endpoints, e.Config)
 	}
-	teams := config.TeamSet{Teams: []config.Team{{Name: Team, KeyHashes: []string{config.HashKey(TeamKey)}}}}
+	var teams config.TeamSet
+	for i := range max(c.options.Teams, 1) {
+		teams.Teams = append(teams.Teams, config.Team{Name: teamName(i), KeyHashes: []string{config.HashKey(c.TeamKey(i))}})
+	}
 	if err := c.Accept(ctx, config.KindServices, config.ServiceSet{Services: c.options.Services}, 0); err != nil {
 		return err
 	}
@@ -244,6 +249,21 @@
 	return c.Accept(ctx, config.KindEndpoints, endpoints, 0)
 }
 
+func teamName(i int) id.Team {
+	if i == 0 {
+		return Team
+	}
+	return id.Team(fmt.Sprintf("%s-%d", Team, i))
+}
+
+// TeamKey returns the API key of a team by its index.
+func (*Cluster) TeamKey(i int) string {
+	if i == 0 {
+		return TeamKey
+	}
+	return fmt.Sprintf("%s-%d", TeamKey, i)
+}
+
 // Accept writes a configuration against the version that was seen.
 func (c *Cluster) Accept(ctx context.Context, kind config.Kind, value any, seen uint64) error {
 	data, err := json.Marshal(value)
