--- a/balance/route/predicted.go
+++ b/balance/route/predicted.go
@@ -10,6 +10,11 @@
 	// marginPart is the part of a report's age by which two predictions may
 	// differ and still count as equal.
 	marginPart = 8
+	// remoteDoubtAge is the age of a report at which an endpoint in another zone
+	// must be better by that age.
+	remoteDoubtAge = 50 * time.Millisecond
+	// silenceFactor scales the time for which reports are overdue to a rank.
+	silenceFactor = 4
 	// maxPasses bounds how often one pick lists the ready endpoints anew.
 	maxPasses = 3
 )
@@ -180,14 +185,23 @@
 	if m.Weight < maxWeight {
 		k.rank = k.prefill + time.Duration(float64(k.rank-k.prefill)*maxWeight/m.Weight)
 	}
+	l := m.state.load.Load()
+	k.age = max(c.now-l.taken, 0)
+	k.rank += silenceFactor * l.overdue(c.now)
 	if remote {
-		k.rank += c.t.cfg.RoundTrip
+		k.rank += c.t.cfg.RoundTrip + remoteDoubt(k.age)
 	}
-	k.age = max(c.now-m.state.load.Load().taken, 0)
 	c.list[c.n] = k
 	c.n++
 }
 
+// remoteDoubt returns by how much an endpoint in another zone must be better.
+// It grows with the square of the report's age, as meanwhile the entries of all
+// zones may have chosen the endpoint.
+func remoteDoubt(age time.Duration) time.Duration {
+	return time.Duration(float64(age) * float64(age) / float64(remoteDoubtAge))
+}
+
 // best returns the candidate of least rank. Ranks that differ by less than the
 // reports' age makes certain count as equal; then own requests in flight decide.
 func (c *comparison) best() int {
@@ -224,6 +238,9 @@
 		Expected:     k.expected(),
 		CachedBlocks: k.cached,
 		state:        k.m.state,
+		gain:         k.m.gain,
+		rawWait:      k.raw,
+		prefill:      k.prefill,
 	}
 	if c.r.Explain {
 		out.Candidates = c.explain()
--- a/balance/route/route.go
+++ b/balance/route/route.go
@@ -71,7 +71,10 @@
 	// Candidates are the endpoints compared, if the request asked to explain.
 	Candidates []Candidate
 
-	state *state
+	state   *state
+	gain    *gain
+	rawWait time.Duration
+	prefill time.Duration
 }
 
 // Candidate is one endpoint that a policy compared.
--- a/balance/route/state.go
+++ b/balance/route/state.go
@@ -15,6 +15,12 @@
 	historyLen = 64
 	// errorWeight is the weight of a new observation in the average prediction error.
 	errorWeight = 0.25
+	// failurePenalty is added to the prediction error for each failure.
+	failurePenalty = time.Second
+	// maxFailurePenalty bounds the prediction error that failures cause.
+	maxFailurePenalty = 8 * time.Second
+	// overdueIntervals is the number of report intervals after which an endpoint counts as silent.
+	overdueIntervals = 3
 )
 
 // load is the last report of an endpoint. It is immutable.
@@ -28,6 +34,8 @@
 	slots       int64
 	step        time.Duration
 	taken       time.Duration // when the load was taken, on the table's clock
+	received    time.Duration // when the report arrived
+	interval    time.Duration // average time between reports, zero after the first
 }
 
 // bucket sums the entry's own starts less its ends in one interval of time.
@@ -63,6 +71,7 @@
 	counted  bool
 	removed  bool          // no longer configured
 	wait     time.Duration // part of the zone's sum while counted
+	others   int64         // part of the zone's sum while counted
 }
 
 // setLoad records a report and tells whether it was newer than the last one.
@@ -80,6 +89,9 @@
 		s.previous = old.incarnation
 		s.reset()
 	}
+	if old != nil && old.incarnation == l.incarnation {
+		l.interval = averageInterval(old, l.received)
+	}
 	count, tokens := s.since(l.taken)
 	s.netCount.Store(count)
 	s.netTokens.Store(tokens)
@@ -87,6 +99,36 @@
 	return true
 }
 
+// fail adds a penalty to the error of predictions.
+func (s *state) fail(inc id.Incarnation, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load.Load()
+	if l == nil || l.incarnation != inc {
+		return
+	}
+	miss := max(s.errorNanos.Load(), 0) + int64(failurePenalty)
+	s.errorNanos.Store(min(miss, int64(maxFailurePenalty)))
+	s.errorAt.Store(int64(now))
+}
+
+// averageInterval averages the time between reports over the last few.
+func averageInterval(old *load, received time.Duration) time.Duration {
+	gap := received - old.received
+	if old.interval == 0 {
+		return gap
+	}
+	return old.interval + (gap-old.interval)/4
+}
+
+// overdue returns how much longer than usual an endpoint has been silent.
+func (l *load) overdue(now time.Duration) time.Duration {
+	if l.interval == 0 {
+		return 0
+	}
+	return max(now-l.received-overdueIntervals*l.interval, 0)
+}
+
 // reset forgets what belongs to an earlier incarnation.
 func (s *state) reset() {
 	s.history = [historyLen]bucket{}
@@ -142,30 +184,35 @@
 	s.errorAt.Store(int64(now))
 }
 
-// settle adds the endpoint to its zone's sum if it is ready, or takes it out.
+// settle adds the endpoint to its zone's sums if it is ready, or takes it out.
 // The callback is called with the state locked.
 func (s *state) settle(zone *zoneLoad, evaluate func() (ready bool, wait time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.counted {
-		s.zone.add(-1, -s.wait)
-	}
+	s.uncount()
 	ready, wait := evaluate()
-	ready = ready && !s.removed
-	s.zone, s.counted, s.wait = zone, ready, wait
-	if ready {
-		zone.add(1, wait)
+	if !ready || s.removed {
+		return
+	}
+	s.zone, s.counted, s.wait = zone, true, wait
+	s.others = max(s.load.Load().count+s.netCount.Load()-s.openCount.Load(), 0)
+	zone.add(1, s.wait, s.others)
+}
+
+// uncount takes the endpoint out of its zone's sums.
+func (s *state) uncount() {
+	if s.counted {
+		s.zone.add(-1, -s.wait, -s.others)
 	}
+	s.counted = false
 }
 
-// remove takes an endpoint that is no longer configured out of its zone's sum for good.
+// remove takes an endpoint that is no longer configured out of its zone's sums for good.
 func (s *state) remove() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.counted {
-		s.zone.add(-1, -s.wait)
-	}
-	s.counted, s.removed = false, true
+	s.uncount()
+	s.removed = true
 	s.listed.Store(false)
 }
 
@@ -173,6 +220,8 @@
 type zoneLoad struct {
 	ready atomic.Int64
 	nanos atomic.Int64
+	// others sums the requests of other entries.
+	others atomic.Int64
 	// summary is set while another entry reports the zone.
 	summary atomic.Pointer[zoneSummary]
 	// next counts the picks of the round robin policy.
@@ -185,9 +234,19 @@
 	taken time.Duration
 }
 
-func (z *zoneLoad) add(count int64, wait time.Duration) {
+func (z *zoneLoad) add(count int64, wait time.Duration, others int64) {
 	z.ready.Add(count)
 	z.nanos.Add(int64(wait))
+	z.others.Add(others)
+}
+
+// meanOthers returns the average number of other entries' requests at an endpoint.
+func (z *zoneLoad) meanOthers() float64 {
+	n := z.ready.Load()
+	if n <= 0 {
+		return 0
+	}
+	return float64(z.others.Load()) / float64(n)
 }
 
 // mean returns the average wait, from a fresh summary before own reports.
--- a/balance/route/table.go
+++ b/balance/route/table.go
@@ -15,7 +15,7 @@
 	Start time.Time
 	// MaxReportAge is the age beyond which an endpoint is not ready. Unit: duration. Default: 3 s.
 	MaxReportAge time.Duration
-	// Choices is the number of random candidates. Unit: endpoints. Default: 2. Range: 2 to 8.
+	// Choices is the number of random candidates. Unit: endpoints. Default: 4. Range: 2 to 8.
 	Choices int
 	// RoundTrip is added to the predicted time of endpoints in other zones.
 	// Unit: duration. Default: 3 ms.
@@ -23,6 +23,9 @@
 	// ErrorMemory is the time after which an observed prediction error is forgotten.
 	// Unit: duration. Default: 4 s.
 	ErrorMemory time.Duration
+	// ReportMemory is the age at which a report of other entries' requests counts
+	// half. Unit: duration. Default: 250 ms.
+	ReportMemory time.Duration
 	// BlockTokens is the length of a prefix block. Unit: tokens. Default: 64.
 	BlockTokens int
 	// PrefillRate is the speed of reading a prompt that is not cached.
@@ -41,8 +44,9 @@
 	setDefault(&c.MaxReportAge, 3*time.Second)
 	setDefault(&c.RoundTrip, 3*time.Millisecond)
 	setDefault(&c.ErrorMemory, 4*time.Second)
+	setDefault(&c.ReportMemory, 250*time.Millisecond)
 	setDefault(&c.StepTime, 20*time.Millisecond)
-	setDefault(&c.Choices, 2)
+	setDefault(&c.Choices, 4)
 	setDefault(&c.BlockTokens, 64)
 	setDefault(&c.PrefillRate, 256)
 	c.Choices = min(max(c.Choices, 2), maxChoices)
@@ -138,6 +142,7 @@
 		slots:       max(int64(r.Slots), 1),
 		step:        r.StepTime,
 		taken:       now - r.Age,
+		received:    now,
 	}
 	if l.step <= 0 {
 		l.step = t.cfg.StepTime
@@ -162,6 +167,7 @@
 func (t *Table) Started(c Choice, now time.Time) {
 	if c.state != nil {
 		c.state.add(c.Incarnation, 1, int64(c.Work), t.clock(now))
+		c.gain.started(c.Work)
 	}
 }
 
@@ -175,8 +181,21 @@
 // Observe records the time to first token of a started request. Callers also
 // report a request that was given up, with the time it had waited.
 func (t *Table) Observe(c Choice, firstToken time.Duration, now time.Time) {
+	if c.state == nil {
+		return
+	}
+	c.state.observe(c.Incarnation, firstToken-c.Predicted, t.clock(now))
+	if c.rawWait > 0 {
+		c.gain.observe(c.rawWait, max(firstToken-c.prefill, 0), t.clock(now))
+	}
+}
+
+// Failed records that the endpoint refused a request or did not answer, so that
+// an endpoint that fails fast does not attract work by looking idle. It is
+// called besides Finished and instead of Observe.
+func (t *Table) Failed(c Choice, now time.Time) {
 	if c.state != nil {
-		c.state.observe(c.Incarnation, firstToken-c.Predicted, t.clock(now))
+		c.state.fail(c.Incarnation, t.clock(now))
 	}
 }
 
--- a/balance/route/view.go
+++ b/balance/route/view.go
@@ -19,12 +19,14 @@
 	Endpoint
 	state *state
 	zone  *zoneLoad
+	gain  *gain
 }
 
 // serviceSet holds the endpoints of a service.
 type serviceSet struct {
 	members []*member
 	zones   []*zoneSet // in order of zone name
+	gain    *gain
 }
 
 // zoneSet holds the ready endpoints of a service in one zone.
@@ -59,10 +61,14 @@
 		}
 		s := next.services[e.Service]
 		if s == nil {
-			s = &serviceSet{}
+			s = &serviceSet{gain: newGain()}
+			if old := v.services[e.Service]; old != nil {
+				s.gain = old.gain
+			}
 			next.services[e.Service] = s
 		}
 		m.zone = s.addZone(v.services[e.Service], e.Zone).load
+		m.gain = s.gain
 		s.members = append(s.members, m)
 		next.members[e.Name] = m
 	}
@@ -101,7 +107,7 @@
 	if old == nil {
 		return v
 	}
-	s := &serviceSet{members: old.members}
+	s := &serviceSet{members: old.members, gain: old.gain}
 	for _, z := range old.zones {
 		s.zones = append(s.zones, &zoneSet{name: z.name, load: z.load})
 	}
