--- a/balance/route/experiment_test.go
+++ b/balance/route/experiment_test.go
@@ -36,15 +36,17 @@
 	return []uint64{1}
 }
 
+// with returns a changed copy.
+func (c scenario) with(name string, change func(*scenario)) scenario {
+	c.name = name
+	change(&c)
+	return c
+}
+
 // routing returns the scenarios that compare the policies.
 func routing(length time.Duration) []scenario {
 	base := scenario{duration: length, load: constant(0.8), slow: -1, liar: -1}
-	with := func(name string, change func(*scenario)) scenario {
-		c := base
-		c.name = name
-		change(&c)
-		return c
-	}
+	with := base.with
 	return []scenario{
 		with("steady 0.8", func(*scenario) {}),
 		with("steady 0.8, uneven", func(c *scenario) { c.uneven = true }),
@@ -164,12 +166,7 @@
 // admission returns the scenarios at twice the capacity.
 func admission(length time.Duration) []scenario {
 	base := scenario{duration: length, load: constant(2), slow: -1, liar: -1, policy: route.PredictedTime}
-	with := func(name string, change func(*scenario)) scenario {
-		c := base
-		c.name = name
-		change(&c)
-		return c
-	}
+	with := base.with
 	return []scenario{
 		with("unbounded queue", func(*scenario) {}),
 		with("admission", func(c *scenario) { c.admit = true }),
