Prefix match tests the first block before the search

Change: an endpoint without the first block matches zero blocks at once. The benchmark tells few and many holders apart. Ruled out: a match for the holder only, as it would ignore common prefixes.

--- a/balance/prefix/prefix.go
+++ b/balance/prefix/prefix.go
@@ -165,7 +165,7 @@
 }
 
 // Match returns how many leading blocks the endpoint is expected to hold. It is
-// zero for a distrusted endpoint. The cost grows with the logarithm of the
+// zero for a distrusted endpoint and for one that lacks the first block. The cost grows with the logarithm of the
 // number of blocks, as an engine that holds a prefix holds all shorter ones.
 func (x *Index) Match(blocks []uint64, e id.Endpoint) int {
 	c := (*x.caches.Load())[e]
@@ -174,10 +174,10 @@
 	}
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	if !c.trusted {
+	if !c.trusted || len(blocks) == 0 || !c.blocks.has(blocks[0]) {
 		return 0
 	}
-	low, high := 0, len(blocks)
+	low, high := 1, len(blocks)
 	for low < high {
 		mid := (low + high + 1) / 2
 		if c.blocks.has(blocks[mid-1]) {
--- a/balance/route/prefix_bench_test.go
+++ b/balance/route/prefix_bench_test.go
@@ -12,8 +12,9 @@
 
 // BenchmarkPickWithPrefixes picks for a prompt of 32 blocks of which some endpoints hold a part.
 func BenchmarkPickWithPrefixes(b *testing.B) {
-	for _, n := range []int{16, 120, 1200} {
-		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+	for _, c := range []struct{ n, holders int }{{16, 1}, {16, 16}, {120, 4}, {120, 120}, {1200, 4}, {1200, 1200}} {
+		n := c.n
+		b.Run(fmt.Sprintf("replicas=%d/holders=%d", n, c.holders), func(b *testing.B) {
 			index := prefix.NewIndex(prefix.Config{})
 			table := route.NewTable(route.Config{Start: simEpoch, Prefixes: index})
 			var list []route.Endpoint
@@ -32,7 +33,7 @@
 					StepTime: simStep, Running: uint32(i % 12),
 				}, simEpoch)
 				var events []prefix.Event
-				for j := range i % 32 {
+				for j := range (i%32 + 1) * min(c.holders/(i+1), 1) {
 					events = append(events, prefix.Event{Seq: uint64(j + 1), Block: blocks[j]})
 				}
 				index.Apply(e.Name, "i", events)
