Admission at the entry: predicted time, shares, limits; failures reach the routing table

Cause: the entry admitted every call; an endpoint that refused at once looked idle to the routing policy, and a caller that left in the middle of an answer was reported to it as a long wait for the first token.

--- /dev/null
+++ b/entry/admission/admission_test.go
@@ -0,0 +1,74 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/problem"
+	"github.com/siskinford/siskinford/fleet/config"
+)
+
+// picker expects the same time to first token for every request.
+type picker struct {
+	expected time.Duration
+	err      error
+}
+
+func (p picker) Pick(route.Request) (route.Choice, error) {
+	return route.Choice{Expected: p.expected}, p.err
+}
+
+// bucket is a Limiter with a fixed number of tokens.
+type bucket struct{ tokens float64 }
+
+func (b *bucket) Take(_ id.Team, tokens float64, _ time.Time) (time.Duration, bool) {
+	if b.tokens < tokens {
+		return 2 * time.Second, false
+	}
+	b.tokens -= tokens
+	return 0, true
+}
+
+func (b *bucket) Return(_ id.Team, tokens float64, _ time.Time) { b.tokens += tokens }
+
+func TestAdmit(t *testing.T) {
+	none := &route.NoEndpointError{Service: "s"}
+	for _, tc := range []struct {
+		name     string
+		picker   picker
+		tokens   float64
+		disabled bool
+		want     problem.Code
+		left     float64
+	}{
+		{name: "in time", picker: picker{expected: 10 * time.Millisecond}, tokens: 100, left: 90},
+		{name: "late", picker: picker{expected: 10 * time.Second}, tokens: 100, want: problem.Overloaded, left: 100},
+		{name: "late, admission off", picker: picker{expected: 10 * time.Second}, tokens: 100, disabled: true, left: 90},
+		{name: "no endpoint", picker: picker{err: none}, tokens: 100, want: problem.NoEndpoint, left: 100},
+		{name: "limit", picker: picker{expected: time.Millisecond}, tokens: 5, want: problem.RateLimited, left: 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			limiter := &bucket{tokens: tc.tokens}
+			a := New(Deps{Picker: tc.picker, Limiter: limiter, Admission: !tc.disabled})
+			a.Update([]config.Team{{Name: "puno"}}, []config.Service{{Name: "s"}})
+			call := &dispatch.Call{Service: "s", Work: 10, Deadline: time.Now().Add(time.Second)}
+			release, refused := a.Admit(config.Team{Name: "puno"}, call)
+			assert.Equal(t, limiter.tokens, tc.left)
+			if tc.want == "" {
+				assert.Assert(t, refused == nil)
+				release(4)
+				assert.Equal(t, limiter.tokens, tc.left+6, "unused tokens are given back")
+				return
+			}
+			assert.Equal(t, refused.Code, tc.want)
+			assert.Equal(t, refused.Outcome, outcome.NotRun)
+			assert.Assert(t, refused.RetryAfter > 0)
+		})
+	}
+}
--- a/entry/dispatch/call.go
+++ b/entry/dispatch/call.go
@@ -32,8 +32,11 @@
 	// Work is the predicted work in tokens.
 	Work         uint32
 	PromptBlocks []uint64
-	Chat         *msg.Chat
-	Plain        *msg.Plain
+	// FirstFrame is called once with the time until the answer began or was
+	// given up. It may be nil and must not block.
+	FirstFrame func(after time.Duration)
+	Chat       *msg.Chat
+	Plain      *msg.Plain
 }
 
 // Binding names where an action may run.
@@ -90,4 +93,5 @@
 	Started(c route.Choice, now time.Time)
 	Finished(c route.Choice, now time.Time)
 	Observe(c route.Choice, firstToken time.Duration, now time.Time)
+	Failed(c route.Choice, now time.Time)
 }
--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -91,6 +91,8 @@
 func (noTable) Finished(route.Choice, time.Time)               {}
 func (noTable) Observe(route.Choice, time.Duration, time.Time) {}
 
+func (noTable) Failed(route.Choice, time.Time) {}
+
 // text is a Sink.
 type text struct{ body []byte }
 
--- a/entry/dispatch/recover.go
+++ b/entry/dispatch/recover.go
@@ -19,6 +19,7 @@
 			"connection to endpoint %q was lost before the request was sent: %v", t.choice.Endpoint, cause)}, true
 	}
 	t.recovered = true
+	t.failed()
 	detail := "frame missing"
 	if cause != nil {
 		detail = cause.Error()
--- a/entry/dispatch/try.go
+++ b/entry/dispatch/try.go
@@ -35,6 +35,7 @@
 // run sends the attempt and receives its answer.
 func (t *try) run(ctx context.Context) Result {
 	if problem := t.send(ctx); problem != nil {
+		t.failed()
 		return Result{Outcome: outcome.NotRun, Problem: problem}
 	}
 	defer func() { t.order.Release() }()
@@ -149,13 +150,25 @@
 	return t.sink.Frames(batch)
 }
 
-// observe tells the routing table how long the first frame took.
+// observe tells the routing table and the caller of the dispatcher how long the
+// first frame took.
 func (t *try) observe() {
-	if t.call.Bound != nil {
-		return
-	}
 	now := time.Now()
-	t.deps.Table.Observe(t.choice, now.Sub(t.begun), now)
+	after := now.Sub(t.begun)
+	if t.call.FirstFrame != nil {
+		t.call.FirstFrame(after)
+		t.call.FirstFrame = nil
+	}
+	if t.call.Bound == nil {
+		t.deps.Table.Observe(t.choice, after, now)
+	}
+}
+
+// failed tells the routing table that the endpoint did not answer.
+func (t *try) failed() {
+	if t.call.Bound == nil {
+		t.deps.Table.Failed(t.choice, time.Now())
+	}
 }
 
 func (t *try) ended(end *msg.End) Result {
@@ -178,6 +191,7 @@
 // refused converts an agent's refusal. The attempt was not started and never will
 // be, unless the refusing agent is a later incarnation than the one that was asked.
 func (t *try) refused(r *msg.Refusal) Result {
+	t.failed()
 	t.record(t.call, "request.refused", t.attempt, t.choice.Endpoint, string(r.Code))
 	p := problem.Newf(refusalCode(r.Code), "endpoint %q refused: %s", t.choice.Endpoint, r.Detail)
 	p.RetryAfter = time.Duration(r.RetryAfter) * time.Microsecond
@@ -233,7 +247,9 @@
 
 // withdraw asks the agent to forget the attempt and reports what is certain.
 func (t *try) withdraw(code problem.Code, detail string) Result {
-	t.observe()
+	if !t.delivered {
+		t.observe()
+	}
 	unknown := problem.Unknownf(problem.OutcomeUnknown, "endpoint %q: %s", t.choice.Endpoint, detail)
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.WithdrawTimeout)
 	defer cancel()
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/siskinford/siskinford/balance/route"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/entry/actions"
+	"github.com/siskinford/siskinford/entry/admission"
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
@@ -50,6 +51,7 @@
 	table     *route.Table
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
+	admission *admission.Admitter
 	callers   *http.Server
 	operators *http.Server
 
@@ -85,11 +87,13 @@
 	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+		s.admission.Update(n.Teams(), n.Services())
 	})
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
 	}
+	s.admission = admission.New(admission.Deps{Zone: c.Zone, Picker: picker, Admission: c.Admission})
 	s.callers = s.newCallerServer(picker)
 	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
 	return s, nil
@@ -103,7 +107,7 @@
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
 		Dispatcher: dispatcher,
-		Admitter:   unlimited{},
+		Admitter:   s.admission,
 		Actions: actions.New(actions.Deps{
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
 			Claimer: actions.NewKeyClaimer(s.claims),
--- a/itest/histories/world_test.go
+++ b/itest/histories/world_test.go
@@ -357,6 +357,8 @@
 func (noTable) Finished(route.Choice, time.Time)               {}
 func (noTable) Observe(route.Choice, time.Duration, time.Time) {}
 
+func (noTable) Failed(route.Choice, time.Time) {}
+
 // close ends the history. Afterwards nothing runs any more.
 func (w *world) close() {
 	for _, e := range w.entries {
