A closed listener frees its address

The server now owns socket and transport and closes both, which also ends sessions accepted during Close.

--- a/wire/link/link_test.go
+++ b/wire/link/link_test.go
@@ -33,6 +33,8 @@
 type fixture struct {
 	server *Server
 	pool   *Pool
+	keys   *keys.Ring
+	tls    func() *tls.Config
 }
 
 func newFixture(t *testing.T, dialerRole keys.Role) *fixture {
@@ -43,11 +45,11 @@
 	dialer := ring(t, authority, dialerRole)
 	server, err := Listen("127.0.0.1:0", agent.Server(keys.RoleEntry), DefaultConfig(), echo{})
 	assert.NilError(t, err)
-	pool := NewPool(DefaultConfig(), func() *tls.Config { return dialer.Client(keys.RoleAgent) })
-	f := &fixture{server: server, pool: pool}
+	f := &fixture{server: server, keys: agent, tls: func() *tls.Config { return dialer.Client(keys.RoleAgent) }}
+	f.pool = NewPool(DefaultConfig(), f.tls)
 	t.Cleanup(func() {
-		pool.Close()
-		server.Close()
+		f.pool.Close()
+		f.server.Close()
 	})
 	return f
 }
@@ -157,3 +159,18 @@
 	var full *QueueFullError
 	assert.Assert(t, errors.As(err, &full))
 }
+
+func TestAddressIsFreeAfterClose(t *testing.T) {
+	f := newFixture(t, keys.RoleEntry)
+	address := f.server.Address()
+	for range 5 {
+		_, err := f.pool.Conn(context.Background(), address)
+		assert.NilError(t, err)
+		f.server.Close()
+		server, err := Listen(address, f.keys.Server(keys.RoleEntry), DefaultConfig(), echo{})
+		assert.NilError(t, err, "a restarted agent listens at its former address")
+		f.server = server
+		f.pool.Close()
+		f.pool = NewPool(DefaultConfig(), f.tls)
+	}
+}
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 	"time"
 
@@ -67,11 +68,13 @@
 
 // Server accepts connections. It is safe for concurrent use.
 type Server struct {
-	listener *quic.Listener
-	config   Config
-	handler  Handler
-	wg       sync.WaitGroup
-	cancel   context.CancelFunc
+	socket    *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	config    Config
+	handler   Handler
+	wg        sync.WaitGroup
+	cancel    context.CancelFunc
 
 	// mu is a leaf lock.
 	mu       sync.Mutex
@@ -80,26 +83,43 @@
 
 // Listen accepts connections on a UDP address until Close.
 func Listen(address string, t *tls.Config, c Config, h Handler) (*Server, error) {
-	listener, err := quic.ListenAddr(address, t, c.quic())
+	socket, err := listenUDP(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	transport := &quic.Transport{Conn: socket}
+	listener, err := transport.Listen(t, c.quic())
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		listener: listener,
-		config:   c,
-		handler:  h,
-		cancel:   cancel,
-		sessions: make(map[*Session]struct{}),
+		socket:    socket,
+		transport: transport,
+		listener:  listener,
+		config:    c,
+		handler:   h,
+		cancel:    cancel,
+		sessions:  make(map[*Session]struct{}),
 	}
 	s.wg.Go(func() { s.accept(ctx) })
 	return s, nil
 }
 
+func listenUDP(address string) (*net.UDPConn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", udp)
+}
+
 // Address returns the address on which the server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close stops accepting, sends what is queued and ends all sessions.
+// Close stops accepting, sends what is queued, ends all sessions and closes the
+// socket, so that the address can be used again.
 func (s *Server) Close() {
 	s.cancel()
 	for _, session := range s.list() {
@@ -113,6 +133,8 @@
 		}
 	}
 	_ = s.listener.Close()
+	_ = s.transport.Close() // ends sessions that were accepted meanwhile
+	_ = s.socket.Close()
 	s.wg.Wait()
 }
 
