--- a/entry/endpoints/manager.go
+++ b/entry/endpoints/manager.go
@@ -21,9 +21,14 @@
 	Zone id.Zone
 	// Host is the entry's host, which selects its endpoints in other zones.
 	Host id.Host
+	// MaxEndpoints bounds the endpoints in use. Default: 48.
+	MaxEndpoints int
 	// RemoteEndpoints is the number of endpoints of each service that are used
 	// in each other zone. Default: 4.
 	RemoteEndpoints int
+	// ReportBudget bounds the load reports of all endpoints together, in bytes
+	// per second. Default: 5,000.
+	ReportBudget int
 	// ReportInterval is the time between load reports of endpoints in the own
 	// zone. Default: 250 ms.
 	ReportInterval time.Duration
@@ -36,7 +41,9 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
+		MaxEndpoints:         48,
 		RemoteEndpoints:      4,
+		ReportBudget:         5000,
 		ReportInterval:       250 * time.Millisecond,
 		RemoteReportInterval: time.Second,
 		RedialInterval:       500 * time.Millisecond,
@@ -216,6 +223,37 @@
 	}
 }
 
+// reportBytes is the size of a load report on the wire, with its share of packet
+// headers and acknowledgements.
+const reportBytes = 130
+
+// reportInterval returns the time between load reports of an endpoint in a zone.
+// It grows with the number of endpoints in use, so that their reports stay
+// within the budget.
+func (m *Manager) reportInterval(zone id.Zone) time.Duration {
+	m.mu.Lock()
+	used := len(m.endpoints)
+	m.mu.Unlock()
+	interval := m.config.ReportInterval
+	if zone != m.config.Zone {
+		interval = m.config.RemoteReportInterval
+	}
+	return max(interval, time.Duration(used*reportBytes)*time.Second/time.Duration(m.config.ReportBudget))
+}
+
+// lost takes an endpoint out of use whose connection has ended, until it reports again.
+func (m *Manager) lost(e id.Endpoint) {
+	m.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: e})
+	seen, ok := m.Last(e)
+	if !ok {
+		return
+	}
+	report := routeReport(&seen.Report)
+	report.Seq++
+	report.Healthy = false
+	m.table.Report(report, time.Now())
+}
+
 // report takes over a load report.
 func (m *Manager) report(e id.Endpoint, r *msg.Report) {
 	if r.Endpoint != e {
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -19,6 +19,8 @@
 	s.Int(&c.Caller.MaxTokens, "max-tokens", "tokens", "Largest answer that a caller may ask for")
 	s.Int(&c.Caller.MaxHeaderBytes, "max-header-bytes", "bytes", "Largest header of a caller's request")
 	s.Duration(&c.Dispatch.RecoveryTimeout, "recovery-timeout", "Time in which a started answer must be found again after a lost connection")
+	s.Int(&c.Endpoints.MaxEndpoints, "max-endpoints", "endpoints", "Endpoints that the entry uses at most")
+	s.Int(&c.Endpoints.ReportBudget, "report-budget", "bytes/s", "Bound of the load reports of all endpoints together")
 	s.Int(&c.Endpoints.RemoteEndpoints, "remote-endpoints", "endpoints", "Endpoints of each service used in each other zone")
 	s.Duration(&c.Endpoints.ReportInterval, "report-interval", "Time between load reports of endpoints in the own zone")
 	s.Duration(&c.Link.SilenceTimeout, "silence-timeout", "Time without any message after which a connection is abandoned")
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -20,6 +20,11 @@
 	// SilenceTimeout is the time without any message after which a client
 	// abandons a connection. Default: 1.5 s.
 	SilenceTimeout time.Duration
+	// IdleProbeInterval and IdleSilenceTimeout replace ProbeInterval and
+	// SilenceTimeout while no call but a subscription is open. Defaults: 1.25 s
+	// and 2.5 s.
+	IdleProbeInterval  time.Duration
+	IdleSilenceTimeout time.Duration
 	// IdleTimeout is the time without any packet after which a listener closes
 	// a connection. Default: 10 s.
 	IdleTimeout time.Duration
@@ -34,12 +39,14 @@
 // DefaultConfig returns the defaults for connections within a region.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:    time.Second,
-		ProbeInterval:  500 * time.Millisecond,
-		SilenceTimeout: 1500 * time.Millisecond,
-		IdleTimeout:    10 * time.Second,
-		MaxQueuedBytes: 64 << 20,
-		WriterYields:   4,
+		DialTimeout:        time.Second,
+		ProbeInterval:      500 * time.Millisecond,
+		SilenceTimeout:     1500 * time.Millisecond,
+		IdleProbeInterval:  1250 * time.Millisecond,
+		IdleSilenceTimeout: 2500 * time.Millisecond,
+		IdleTimeout:        10 * time.Second,
+		MaxQueuedBytes:     64 << 20,
+		WriterYields:       4,
 	}
 }
 
@@ -54,7 +61,12 @@
 	positive("dial-timeout", c.DialTimeout)
 	positive("probe-interval", c.ProbeInterval)
 	positive("silence-timeout", c.SilenceTimeout)
+	positive("idle-probe-interval", c.IdleProbeInterval)
+	positive("idle-silence-timeout", c.IdleSilenceTimeout)
 	positive("idle-timeout", c.IdleTimeout)
+	if c.IdleSilenceTimeout <= c.IdleProbeInterval {
+		l.Addf("idle-silence-timeout", "%v is not greater than the idle probe interval %v", c.IdleSilenceTimeout, c.IdleProbeInterval)
+	}
 	if c.SilenceTimeout <= c.ProbeInterval {
 		l.Addf("silence-timeout", "%v is not greater than the probe interval %v", c.SilenceTimeout, c.ProbeInterval)
 	}
--- a/wire/link/conn.go
+++ b/wire/link/conn.go
@@ -53,7 +53,11 @@
 	mu     sync.Mutex
 	nextID uint64
 	calls  map[uint64]*Call
-	cause  error
+	// open counts the calls that are no subscriptions; openSince is when the
+	// first of them was sent.
+	open      int
+	openSince time.Time
+	cause     error
 }
 
 // Call is an order that waits for replies.
@@ -62,6 +66,8 @@
 	id       uint64
 	position uint64
 	waiter   Waiter
+	// subscription is true for a call that stays open without being waited for.
+	subscription bool
 }
 
 // dial connects to address from a new local port, so that a path on which an
@@ -102,7 +108,7 @@
 // Send queues an order and sets its ID. It does not wait for the peer. An error
 // means that no byte of the order left; the waiter is then not called.
 func (c *Conn) Send(o *msg.Order, w Waiter) (*Call, error) {
-	call := &Call{conn: c, waiter: w}
+	call := &Call{conn: c, waiter: w, subscription: o.Reports != nil}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != nil {
@@ -116,15 +122,33 @@
 		return nil, err
 	}
 	call.position = position
-	c.calls[call.id] = call
+	c.add(call)
 	return call, nil
 }
 
+// add registers a call. The caller holds c.mu.
+func (c *Conn) add(call *Call) {
+	c.calls[call.id] = call
+	if call.subscription {
+		return
+	}
+	if c.open == 0 {
+		c.openSince = time.Now()
+	}
+	c.open++
+}
+
 // Release stops the delivery of replies. It may be called several times.
 func (c *Call) Release() {
 	c.conn.mu.Lock()
+	defer c.conn.mu.Unlock()
+	if _, ok := c.conn.calls[c.id]; !ok {
+		return
+	}
 	delete(c.conn.calls, c.id)
-	c.conn.mu.Unlock()
+	if !c.subscription {
+		c.conn.open--
+	}
 }
 
 // Call sends an order and waits for its first reply.
@@ -196,23 +220,38 @@
 func (c *Conn) probe() {
 	ticker := time.NewTicker(c.config.ProbeInterval)
 	defer ticker.Stop()
+	var lastProbe time.Time
 	for {
 		select {
 		case <-c.done:
 			return
 		case <-ticker.C:
 		}
-		silence := time.Since(c.started) - time.Duration(c.lastReceived.Load())
-		if silence > c.config.SilenceTimeout {
+		now := time.Now()
+		interval, timeout, silence := c.liveness(now)
+		if silence > timeout {
 			c.end(&SilentError{Address: c.address, Silence: silence})
 			return
 		}
-		if silence > c.config.ProbeInterval/2 {
+		if silence > interval/2 && now.Sub(lastProbe) >= interval {
+			lastProbe = now
 			_, _ = c.out.put(&msg.Order{Probe: &msg.Probe{}})
 		}
 	}
 }
 
+// liveness returns the bounds in force and the time without any message. While
+// calls are open the silence counts from the first of them at the earliest.
+func (c *Conn) liveness(now time.Time) (interval, timeout, silence time.Duration) {
+	silence = now.Sub(c.started) - time.Duration(c.lastReceived.Load())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == 0 {
+		return c.config.IdleProbeInterval, c.config.IdleSilenceTimeout, silence
+	}
+	return c.config.ProbeInterval, c.config.SilenceTimeout, min(silence, now.Sub(c.openSince))
+}
+
 // singleReply is a Waiter for one reply.
 type singleReply struct {
 	once  sync.Once
