Link traffic as metrics; idle links are probed only when reports stay away

Cause: probes doubled the packets of links that carry reports anyway, and an idle probing link between entries costs 1.65 KB/s. Change: a probe is sent after a whole interval without a message; links between entries leave liveness to membership; siskinford-lab control measures an entry and an agent without requests.

--- a/cmd/siskinford-lab/main.go
+++ b/cmd/siskinford-lab/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&demo.Command{}, "fleet")
 	subcommands.Register(&measure.Path{}, "measurements")
+	subcommands.Register(&measure.Control{}, "measurements")
 	subcommands.Register(&load.Command{}, "measurements")
 	subcommands.Register(&slopes.Command{}, "measurements")
 	subcommands.Register(&serve.Platform{}, "stand-ins")
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -31,11 +31,12 @@
 // startNode listens for other entries and joins the fleet.
 func (s *Server) startNode() error {
 	n := &s.node
-	n.pool = link.NewPool(s.config.Link, func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
+	n.pool = link.NewPool(link.PeerConfig(), func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
+	s.exposeTraffic("entries", n.pool)
 	mux := transport.NewMux(peer.NewCaller(n.pool), s.metrics)
 	var err error
 	handler := peer.NewServer(mux.Handle, s.selectEvents)
-	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), s.config.Link, handler)
+	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), link.PeerConfig(), handler)
 	if err != nil {
 		return err
 	}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -75,6 +75,7 @@
 	s.events = timeline.Logged{Ring: d.Ring, Log: d.Log}
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	prefixes := prefix.NewIndex(prefix.Config{})
+	s.exposeTraffic("agents", s.pool)
 	s.table = route.NewTable(route.Config{Prefixes: prefixes})
 	picker, err := route.New(c.Policy, s.table)
 	if err != nil {
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -15,13 +15,14 @@
 type Config struct {
 	// DialTimeout bounds the time until a new connection is usable. Default: 1 s.
 	DialTimeout time.Duration
-	// ProbeInterval is the time between application probes of a client. Default: 500 ms.
+	// ProbeInterval is the time without any message after which a client sends
+	// an application probe, and the time between probes. Default: 500 ms.
 	ProbeInterval time.Duration
 	// SilenceTimeout is the time without any message after which a client
 	// abandons a connection. Default: 1.5 s.
 	SilenceTimeout time.Duration
 	// IdleProbeInterval and IdleSilenceTimeout replace ProbeInterval and
-	// SilenceTimeout while no call but a subscription is open. Defaults: 1.25 s
+	// SilenceTimeout while no call but a subscription is open. Defaults: 1.5 s
 	// and 2.5 s.
 	IdleProbeInterval  time.Duration
 	IdleSilenceTimeout time.Duration
@@ -42,7 +43,7 @@
 		DialTimeout:        time.Second,
 		ProbeInterval:      500 * time.Millisecond,
 		SilenceTimeout:     1500 * time.Millisecond,
-		IdleProbeInterval:  1250 * time.Millisecond,
+		IdleProbeInterval:  1500 * time.Millisecond,
 		IdleSilenceTimeout: 2500 * time.Millisecond,
 		IdleTimeout:        10 * time.Second,
 		MaxQueuedBytes:     64 << 20,
@@ -50,6 +51,16 @@
 	}
 }
 
+// PeerConfig returns the defaults for connections between entries. Membership
+// watches over them, so that idle ones are not probed.
+func PeerConfig() Config {
+	c := DefaultConfig()
+	c.IdleProbeInterval = 10 * time.Minute
+	c.IdleSilenceTimeout = time.Hour
+	c.IdleTimeout = 90 * time.Second
+	return c
+}
+
 // Validate reports all values out of range.
 func (c Config) Validate() finding.List {
 	var l finding.List
--- a/wire/link/conn.go
+++ b/wire/link/conn.go
@@ -233,7 +233,7 @@
 			c.end(&SilentError{Address: c.address, Silence: silence})
 			return
 		}
-		if silence > interval/2 && now.Sub(lastProbe) >= interval {
+		if silence > interval && now.Sub(lastProbe) >= interval {
 			lastProbe = now
 			_, _ = c.out.put(&msg.Order{Probe: &msg.Probe{}})
 		}
--- a/wire/link/pool.go
+++ b/wire/link/pool.go
@@ -20,6 +20,7 @@
 	// mu is a leaf lock.
 	mu     sync.Mutex
 	conns  map[string]*Conn
+	ended  Traffic // of connections that have ended
 	closed bool
 }
 
@@ -77,6 +78,7 @@
 	<-c.Done()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended.add(c.traffic())
 	if p.conns[c.address] == c {
 		delete(p.conns, c.address)
 	}
