--- a/agent/gate/report.go
+++ b/agent/gate/report.go
@@ -34,6 +34,8 @@
 	next     time.Time
 	// cacheSeq is the last cache event that was sent.
 	cacheSeq uint64
+	// introduced is true once a report named endpoint and incarnation.
+	introduced bool
 }
 
 const (
@@ -167,6 +169,10 @@
 		if n := len(own.CacheEvents); n > 0 {
 			sub.cacheSeq = own.CacheEvents[n-1].Seq
 		}
+		if sub.introduced {
+			own.Endpoint, own.Incarnation = "", ""
+		}
+		sub.introduced = true
 		r.subscribers[s] = sub
 		s.Reply(&msg.Reply{ID: sub.order, Report: &own})
 	}
--- a/entry/endpoints/manager.go
+++ b/entry/endpoints/manager.go
@@ -225,7 +225,7 @@
 
 // reportBytes is the size of a load report on the wire, with its share of packet
 // headers and acknowledgements.
-const reportBytes = 130
+const reportBytes = 165
 
 // reportInterval returns the time between load reports of an endpoint in a zone.
 // It grows with the number of endpoints in use, so that their reports stay
@@ -256,9 +256,6 @@
 
 // report takes over a load report.
 func (m *Manager) report(e id.Endpoint, r *msg.Report) {
-	if r.Endpoint != e {
-		return
-	}
 	now := time.Now()
 	m.mu.Lock()
 	last, known := m.reports[e]
--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -125,13 +125,24 @@
 type reportReceiver struct {
 	watcher  *watcher
 	endpoint id.Endpoint
+	// incarnation is that of the first report. Replies arrive on one goroutine.
+	incarnation id.Incarnation
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
-	if reply.Report != nil {
-		r.watcher.manager.report(r.endpoint, reply.Report)
-		r.watcher.settle()
+	report := reply.Report
+	switch {
+	case report == nil:
+		return
+	case r.incarnation == "" && report.Endpoint != r.endpoint:
+		return // another agent listens at the address
+	case r.incarnation == "":
+		r.incarnation = report.Incarnation
 	}
+	report.Endpoint = r.endpoint
+	report.Incarnation = r.incarnation
+	r.watcher.manager.report(r.endpoint, report)
+	r.watcher.settle()
 }
 
 func (r *reportReceiver) Lost(bool, error) {}
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -22,8 +22,8 @@
 	// abandons a connection. Default: 1.5 s.
 	SilenceTimeout time.Duration
 	// IdleProbeInterval and IdleSilenceTimeout replace ProbeInterval and
-	// SilenceTimeout while no call but a subscription is open. Defaults: 1.5 s
-	// and 2.5 s.
+	// SilenceTimeout while no call but a subscription is open. Defaults: 1.75 s
+	// and 2.75 s.
 	IdleProbeInterval  time.Duration
 	IdleSilenceTimeout time.Duration
 	// IdleTimeout is the time without any packet after which a listener closes
@@ -43,8 +43,8 @@
 		DialTimeout:        time.Second,
 		ProbeInterval:      500 * time.Millisecond,
 		SilenceTimeout:     1500 * time.Millisecond,
-		IdleProbeInterval:  1500 * time.Millisecond,
-		IdleSilenceTimeout: 2500 * time.Millisecond,
+		IdleProbeInterval:  1750 * time.Millisecond,
+		IdleSilenceTimeout: 2750 * time.Millisecond,
 		IdleTimeout:        10 * time.Second,
 		MaxQueuedBytes:     64 << 20,
 		WriterYields:       4,
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -278,8 +278,10 @@
 
 // Report is the state of one endpoint. It is sent at an interval and at once when Draining changes.
 type Report struct {
-	Endpoint    id.Endpoint    `cbor:"1,keyasint"`
-	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	// Endpoint and Incarnation are set in the first report of a subscription and
+	// hold for the later ones.
+	Endpoint    id.Endpoint    `cbor:"1,keyasint,omitempty"`
+	Incarnation id.Incarnation `cbor:"2,keyasint,omitempty"`
 	// Seq counts the reports of an incarnation.
 	Seq      uint64 `cbor:"3,keyasint"`
 	Draining bool   `cbor:"4,keyasint,omitempty"`
