--- a/itest/client_test.go
+++ b/itest/client_test.go
@@ -139,17 +139,22 @@
 		if e.Config.Service != procs.PlainService {
 			continue
 		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.BackendURL+"/lab/runs", nil)
-		assert.NilError(t, err)
-		response, err := http.DefaultClient.Do(request)
-		assert.NilError(t, err)
-		var counted map[string]int
-		err = json.NewDecoder(response.Body).Decode(&counted)
-		_ = response.Body.Close()
-		assert.NilError(t, err)
-		for key, n := range counted {
+		for key, n := range runsOf(ctx, t, e) {
 			total[key] += n
 		}
 	}
 	return total
 }
+
+// runsOf returns the same of one plain service.
+func runsOf(ctx context.Context, t *testing.T, e *procs.Endpoint) map[string]int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.BackendURL+"/lab/runs", nil)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var counted map[string]int
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&counted))
+	return counted
+}
--- /dev/null
+++ b/itest/config_test.go
@@ -0,0 +1,111 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/lab/platform"
+	"github.com/siskinford/siskinford/lab/procs"
+)
+
+// teams returns the teams of a cluster with one more API key.
+func teams(key string) config.TeamSet {
+	return config.TeamSet{Teams: []config.Team{{
+		Name: procs.Team, KeyHashes: []string{config.HashKey(procs.TeamKey), config.HashKey(key)},
+	}}}
+}
+
+// accepts reports whether an entry serves an API key.
+func accepts(ctx context.Context, t *testing.T, e *procs.Entry, key string) bool {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL+"/v1/models", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func teamsVersion(ctx context.Context, t *testing.T, c *procs.Cluster) uint64 {
+	t.Helper()
+	o, err := c.Store.Get(ctx, config.ObjectKind, string(config.KindTeams))
+	assert.NilError(t, err)
+	return o.Version
+}
+
+// inForce waits until every entry serves a key and checks that none serves another.
+func inForce(ctx context.Context, t *testing.T, c *procs.Cluster, key, former string) {
+	t.Helper()
+	for _, e := range c.Entries {
+		await(ctx, t, fmt.Sprintf("key %q at %s", key, e.Host), func() bool { return accepts(ctx, t, e, key) })
+		if former != "" {
+			assert.Assert(t, !accepts(ctx, t, e, former), "%s serves the former key %q", e.Host, former)
+		}
+	}
+}
+
+// TestAcceptedConfigurationIsInForceAndStays lets operators race, loses the
+// answer to a write, restarts an entry during an outage and lets the platform
+// show older versions.
+func TestAcceptedConfigurationIsInForceAndStays(t *testing.T) {
+	ctx, c := cluster(t, procs.Options{Entries: 3, Models: 1, Zones: []id.Zone{"lima-a", "lima-a", "lima-b"}})
+
+	seen := teamsVersion(ctx, t, c)
+	const operators = 4
+	results := make([]error, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() { results[i] = c.Accept(ctx, config.KindTeams, teams(fmt.Sprintf("race-%d", i)), seen) })
+	}
+	wg.Wait()
+	winner := -1
+	for i, err := range results {
+		if err == nil {
+			assert.Equal(t, winner, -1, "two operators were told that their change is accepted")
+			winner = i
+			continue
+		}
+		var lost *config.LostRaceError
+		assert.Assert(t, errors.As(err, &lost), "%v", err)
+	}
+	assert.Assert(t, winner >= 0, "%v", results)
+	last := fmt.Sprintf("race-%d", winner)
+	inForce(ctx, t, c, last, "")
+	for i := range operators {
+		if i != winner {
+			assert.Assert(t, !accepts(ctx, t, c.Entries[0], fmt.Sprintf("race-%d", i)), "a refused change is in force")
+		}
+	}
+
+	assert.NilError(t, c.SetPlatformFaults(ctx, platform.Faults{LoseAnswers: 1}))
+	assert.NilError(t, c.Accept(ctx, config.KindTeams, teams("answer-lost"), teamsVersion(ctx, t, c)))
+	inForce(ctx, t, c, "answer-lost", last)
+
+	assert.NilError(t, c.SetPlatformFaults(ctx, platform.Faults{Outage: platform.OutageRefuse}))
+	err := c.Accept(ctx, config.KindTeams, teams("in-outage"), teamsVersionIgnored)
+	assert.Assert(t, err != nil, "a change was accepted without the platform")
+	c.Entries[0].Process.Kill()
+	assert.NilError(t, c.RestartEntry(ctx, c.Entries[0]))
+	assert.NilError(t, procs.AwaitReady(ctx, c.Entries[0].Operators))
+	inForce(ctx, t, c, "answer-lost", "in-outage")
+
+	assert.NilError(t, c.SetPlatformFaults(ctx, platform.Faults{StaleVersions: 2}))
+	c.Entries[1].Process.Kill()
+	assert.NilError(t, c.RestartEntry(ctx, c.Entries[1]))
+	assert.NilError(t, procs.AwaitReady(ctx, c.Entries[1].Operators))
+	inForce(ctx, t, c, "answer-lost", last)
+	assert.NilError(t, c.SetPlatformFaults(ctx, platform.Faults{}))
+	inForce(ctx, t, c, "answer-lost", last)
+}
+
+// teamsVersionIgnored is a version for a change that cannot reach the platform.
+const teamsVersionIgnored = 1
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -323,6 +323,9 @@
 
 func (c *Cluster) startEntry(ctx context.Context, e *Entry, callers, operators string) error {
 	args := append([]string{"--caller-listen=" + callers, "--operator-listen=" + operators}, e.args...)
+	if e.Peers != "" {
+		args = append(args, "--peer-listen="+e.Peers)
+	}
 	p, err := Start(string(e.Host), c.options.Binaries.Entry, args, e.env)
 	if err != nil {
 		return err
