Retention of the ledger stands still while the agent is paused

The ledger's retention counted time for which the agent was stopped. An attach that tombstoned an attempt, a pause beyond the retention and then the dispatch, which had waited in the agent's socket: it ran after its caller was told not-run. The ledger now reads a clock that advances with housekeeping, by one second at most for a gap. Tickets and deadlines keep the steady clock, so that a ticket never outlives what the ledger remembers of it.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -49,6 +49,7 @@
 	server      *link.Server
 	operator    operatorServer
 	now         func() time.Time
+	awake       *pauseClock
 
 	ctx     context.Context // ends when running attempts are cut off
 	cancel  context.CancelFunc
@@ -82,15 +83,17 @@
 		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
 	}
 	now := monotonicClock()
+	awake := newPauseClock(now)
 	inc := id.NewIncarnation()
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		config:      c,
 		deps:        d,
 		incarnation: inc,
-		ledger:      ledger.New(c.Ledger, now),
+		ledger:      ledger.New(c.Ledger, awake.read),
 		tickets:     ticket.NewIssuer(c.Endpoint, inc, c.TicketLifetime, now),
 		now:         now,
+		awake:       awake,
 		ctx:         ctx,
 		cancel:      cancel,
 		running:     make(map[id.Attempt]*run),
@@ -209,6 +212,7 @@
 			return
 		case <-ticker.C:
 		}
+		a.awake.tick()
 		a.dispatchQueued()
 		if a.now().Sub(lastExpire) > time.Second {
 			lastExpire = a.now()
--- /dev/null
+++ b/agent/gate/pause_test.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/agent/ledger"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+type frames struct{ last *msg.Frame }
+
+func (f *frames) Frame(frame *msg.Frame) { f.last = frame }
+
+// TestTombstoneOutlivesPause checks that a dispatch that waited through a pause
+// of the agent is refused after its attempt was said to be not run.
+func TestTombstoneOutlivesPause(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	clock := newPauseClock(func() time.Time { return now })
+	l := ledger.New(ledger.DefaultConfig(), clock.read)
+	attempt := ledger.Attempt{ID: "a1"}
+	var told frames
+	l.Attach(attempt, 0, &told)
+	assert.Equal(t, told.last.Refused.Code, msg.CodeUnknownAttempt)
+	now = now.Add(time.Hour)
+	clock.tick()
+	l.Expire()
+	admission, _ := l.Admit(attempt, &frames{})
+	assert.Equal(t, admission, ledger.AdmittedRefused)
+}
+
+func TestPauseClockRunsWithItsTicks(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	start := now
+	clock := newPauseClock(func() time.Time { return now })
+	for range 600 {
+		now = now.Add(500 * time.Millisecond)
+		clock.tick()
+	}
+	assert.Equal(t, clock.read().Sub(start), 5*time.Minute)
+	now = now.Add(time.Hour)
+	assert.Equal(t, clock.read().Sub(start), 5*time.Minute+maxClockStep)
+	clock.tick()
+	assert.Equal(t, clock.read().Sub(start), 5*time.Minute+maxClockStep)
+}
