--- /dev/null
+++ b/itest/histories/late_test.go
@@ -0,0 +1,97 @@
+package histories
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/outcome"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// frameWaiter receives the first frame of an order.
+type frameWaiter struct{ frames chan *msg.Frame }
+
+func (w frameWaiter) Reply(r *msg.Reply) {
+	select {
+	case w.frames <- r.Frame:
+	default:
+	}
+}
+
+func (frameWaiter) Lost(bool, error) {}
+
+// ask sends an order and returns the first frame of its answer.
+func ask(t *testing.T, conn *link.Conn, o *msg.Order) *msg.Frame {
+	t.Helper()
+	w := frameWaiter{frames: make(chan *msg.Frame, 1)}
+	call, err := conn.Send(o, w)
+	assert.NilError(t, err)
+	defer call.Release()
+	select {
+	case f := <-w.frames:
+		return f
+	case <-time.After(time.Minute):
+		t.Fatal("no answer")
+		return nil
+	}
+}
+
+// TestLateDispatchIsRefused lets a dispatch arrive after its attempt was said to
+// be not run, over a connection of its own.
+func TestLateDispatchIsRefused(t *testing.T) {
+	rings, err := newKeyRings()
+	assert.NilError(t, err)
+	for _, tc := range []struct {
+		name   string
+		settle func(t *testing.T, conn *link.Conn, d *msg.Dispatch)
+	}{
+		{"after the entry attached", func(t *testing.T, conn *link.Conn, d *msg.Dispatch) {
+			f := ask(t, conn, &msg.Order{Attach: &msg.Attach{Attempt: d.Attempt, Incarnation: d.Incarnation, Team: d.Team, Action: d.Action}})
+			assert.Equal(t, f.Refused.Code, msg.CodeUnknownAttempt)
+		}},
+		{"after the caller left", func(t *testing.T, conn *link.Conn, d *msg.Dispatch) {
+			reply, err := conn.Call(context.Background(), &msg.Order{Withdraw: &msg.Withdraw{
+				Attempt: d.Attempt, Incarnation: d.Incarnation, Team: d.Team, Action: d.Action,
+			}})
+			assert.NilError(t, err)
+			assert.Equal(t, reply.Verdict.State, msg.StateTombstoned)
+			want := outcome.NotRun
+			if d.Action != "" {
+				want = outcome.Unknown // another attempt of the action may still come
+			}
+			assert.Equal(t, reply.Verdict.Outcome, want)
+		}},
+		{"to another incarnation", func(_ *testing.T, _ *link.Conn, d *msg.Dispatch) { d.Incarnation = "former" }},
+		{"to another endpoint", func(_ *testing.T, _ *link.Conn, d *msg.Dispatch) { d.Endpoint = "other" }},
+		{"past its deadline in the queue", func(_ *testing.T, _ *link.Conn, d *msg.Dispatch) { d.QueueTimeout = -1 }},
+	} {
+		for _, action := range []string{"", "act"} {
+			t.Run(tc.name+" "+action, func(t *testing.T) {
+				w, err := newWorld(1, rings)
+				assert.NilError(t, err)
+				defer w.close()
+				e := w.endpoints[0]
+				first, err := w.entries[0].pool.Conn(context.Background(), e.current().Address())
+				assert.NilError(t, err)
+				second, err := w.entries[1].pool.Conn(context.Background(), e.current().Address())
+				assert.NilError(t, err)
+				d := &msg.Dispatch{
+					Request: "req", Attempt: "att", Incarnation: e.current().Incarnation(), Endpoint: e.name, Team: team,
+					Service: service, QueueTimeout: time.Minute.Microseconds(),
+					Plain: &msg.Plain{Method: "POST", Path: "/", Header: []msg.Header{{Name: headRequest, Value: "req"}}},
+				}
+				if action != "" {
+					d.Action = "act"
+				}
+				tc.settle(t, first, d)
+				f := ask(t, second, &msg.Order{Dispatch: d})
+				assert.Assert(t, f.Refused != nil)
+				assert.Equal(t, w.witness.requests["req"], 0)
+			})
+		}
+	}
+}
