--- a/itest/shutdown_test.go
+++ b/itest/shutdown_test.go
@@ -1,6 +1,7 @@
 package itest
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"syscall"
@@ -13,6 +14,19 @@
 	"github.com/siskinford/siskinford/lab/procs"
 )
 
+// runningAction starts a reservation and waits until it runs.
+func runningAction(ctx context.Context, t *testing.T, c *procs.Cluster) (key string, reserved chan answer) {
+	t.Helper()
+	caller := newClient()
+	key = caller.ticket(ctx, t, c.Entries[0])
+	reserved = make(chan answer, 1)
+	go func() {
+		reserved <- caller.plain(ctx, c.Entries[0], http.MethodPost, "/reservations", key, `{"id":"chest-7"}`)
+	}()
+	await(ctx, t, "the action runs", func() bool { return runs(ctx, t, c)[key] > 0 })
+	return key, reserved
+}
+
 // TestShutdownCutsOffNothing stops an entry and an agent while streams and an
 // action run at both.
 func TestShutdownCutsOffNothing(t *testing.T) {
@@ -58,13 +72,7 @@
 			ctx, c := cluster(t, procs.Options{
 				Entries: 1, Models: 1, Plains: 1, EngineArgs: []string{"--step-time=30ms"}, PlainArgs: []string{"--delay=30s"},
 			})
-			caller := newClient()
-			key := caller.ticket(ctx, t, c.Entries[0])
-			reserved := make(chan answer, 1)
-			go func() {
-				reserved <- caller.plain(ctx, c.Entries[0], http.MethodPost, "/reservations", key, `{"id":"chest-7"}`)
-			}()
-			await(ctx, t, "the action runs", func() bool { return runs(ctx, t, c)[key] > 0 })
+			key, reserved := runningAction(ctx, t, c)
 			running := streams(ctx, c, "cut", 4)
 			for _, p := range tc.victim(c) {
 				p.Signal(syscall.SIGTERM)
