Limits of teams over all entries, exchanged through the zones' holders

Cause: the divider, zone and share of balance/limit were not connected to anything; a team's tokens_per_second had no effect. Change: entry/limits exchanges demands and grants in 16 shards of teams, each divided in a zone by one entry and over zones by the holder of the lease limits/SHARD, which names its address. New purpose Limits of the mux; Lease.Until and Lease.Holder, Share.SetFloor and Idle, Zone.Idle and limit.MaxGrant are additions. The entry admits by the limits.

--- a/balance/limit/divider.go
+++ b/balance/limit/divider.go
@@ -13,6 +13,10 @@
 	spareDemand = 0.01
 )
 
+// MaxGrant is the time after which every grant has ended, by any clock. A
+// Divider that takes over from one that gave up its authority waits for it.
+const MaxGrant = leaseTime + 2*leaseTime/driftPart
+
 // Pool is what a Divider may divide.
 type Pool struct {
 	// Generation is the fencing number of the authority to divide. At most one
--- a/balance/limit/share.go
+++ b/balance/limit/share.go
@@ -58,6 +58,23 @@
 	s.tokens = min(s.tokens+tokens, rate*burstTime.Seconds())
 }
 
+// SetFloor changes the floor in tokens per second.
+func (s *Share) SetFloor(floor float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fill(now)
+	s.floor = floor
+}
+
+// Idle reports whether the share was asked for less than a token lately, so
+// that no exchange is needed.
+func (s *Share) Idle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	return s.asked < 1
+}
+
 // fill adds the tokens since the last call at the rates that were in force, and
 // returns the current rate.
 func (s *Share) fill(now time.Time) float64 {
--- a/balance/limit/zone.go
+++ b/balance/limit/zone.go
@@ -36,6 +36,13 @@
 	return m
 }
 
+// Idle reports whether no entry has demand, so that no exchange is needed.
+func (z *Zone[N]) Idle(now time.Time) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.divider.Demand(now) == 0
+}
+
 // Apply puts a grant of the Divider for all zones in force.
 func (z *Zone[N]) Apply(g Grant, now time.Time) bool {
 	z.mu.Lock()
--- /dev/null
+++ b/entry/limits/config.go
@@ -0,0 +1,74 @@
+// Package limits enforces the teams' token limits over all entries without a
+// call per request.
+//
+// Each entry holds a share of each limited team, see package limit. Teams are
+// divided into shards. In each zone, one entry holds the duty for a shard, found
+// by rendezvous hashing, and divides the zone's grants between the zone's
+// entries. One of these holders has the shard's lease in the platform and divides
+// the limits between the zones. The lease names its address.
+package limits
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Config bounds the exchanges and the floors.
+type Config struct {
+	// Zone is the availability zone of this entry. Required.
+	Zone id.Zone
+	// Interval is the time between two exchanges. Default: 1 s.
+	Interval time.Duration
+	// CallTimeout bounds a call to another entry. Default: 500 ms.
+	CallTimeout time.Duration
+	// LeaseTTL is the time for which the authority to divide outlasts an outage of
+	// the platform, and the longest time without it after its holder failed. Default: 30 s.
+	LeaseTTL time.Duration
+	// FloorPart is the part of each limit that is reserved for floors. Range: 0 to 1. Default: 0.2.
+	FloorPart float64
+	// Zones is the greatest number of zones that run at a time. Default: 3.
+	Zones int
+	// EntriesPerZone is the greatest number of entries of a zone that run at a time. Default: 2.
+	EntriesPerZone int
+	// Now returns a time with a monotonic reading. Default: time.Now.
+	Now func() time.Time
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		Interval:       time.Second,
+		CallTimeout:    500 * time.Millisecond,
+		LeaseTTL:       30 * time.Second,
+		FloorPart:      0.2,
+		Zones:          3,
+		EntriesPerZone: 2,
+		Now:            time.Now,
+	}
+}
+
+// Validate reports all values out of range.
+func (c Config) Validate() finding.List {
+	var l finding.List
+	if c.FloorPart < 0 || c.FloorPart > 1 {
+		l.Addf("floor-part", "%g is not between 0 and 1", c.FloorPart)
+	}
+	if c.Zones <= 0 {
+		l.Addf("zones", "%d is not positive", c.Zones)
+	}
+	if c.EntriesPerZone <= 0 {
+		l.Addf("entries-per-zone", "%d is not positive", c.EntriesPerZone)
+	}
+	if c.Interval <= 0 {
+		l.Addf("interval", "duration %v is not positive", c.Interval)
+	}
+	if c.CallTimeout <= 0 {
+		l.Addf("call-timeout", "duration %v is not positive", c.CallTimeout)
+	}
+	if c.LeaseTTL <= 0 {
+		l.Addf("lease-ttl", "duration %v is not positive", c.LeaseTTL)
+	}
+	return l
+}
--- /dev/null
+++ b/entry/limits/message.go
@@ -0,0 +1,102 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/balance/limit"
+)
+
+// level tells between whom a limit is divided.
+type level uint8
+
+const (
+	// zoneLevel demands come from an entry to the zone's holder.
+	zoneLevel level = iota + 1
+	// fleetLevel demands come from a zone's holder to the holder of the lease.
+	fleetLevel
+)
+
+// request carries the demands of one node for teams of one shard. Its slices
+// have one element for each team.
+type request struct {
+	_     struct{} `cbor:",toarray"`
+	Level level
+	Shard uint8
+	// Node is the random name of the asking process.
+	Node  uint64
+	Teams []teamKey
+	Seqs  []uint64
+	// Lags are the differences of Demand.Seq and Demand.Confirmed, zero if nothing is confirmed.
+	Lags []byte
+	// Rates are the demands in tokens per second.
+	Rates []float32
+}
+
+// answer carries the grants for the teams of a request in the same order.
+type answer struct {
+	_          struct{} `cbor:",toarray"`
+	Generation uint64
+	// TTL is in milliseconds and holds for all grants.
+	TTL int64
+	// Rates are in tokens per second, negative for teams without a grant.
+	Rates []float32
+	// Redirect is the address of an entry that may hold the shard's lease. It is
+	// set in place of grants.
+	Redirect string
+}
+
+// noGrant stands in answer.Rates for a team without a grant.
+const noGrant = -1
+
+// maxLag is the greatest value of an element of request.Lags.
+const maxLag = 255
+
+// add appends the demand of a team.
+func (r *request) add(k teamKey, d limit.Demand) {
+	lag := d.Seq - d.Confirmed
+	if d.Confirmed == 0 || lag > maxLag {
+		lag = 0
+	}
+	r.Teams = append(r.Teams, k)
+	r.Seqs = append(r.Seqs, d.Seq)
+	r.Lags = append(r.Lags, byte(lag))
+	r.Rates = append(r.Rates, float32(d.Rate))
+}
+
+// valid reports whether the request is complete.
+func (r *request) valid() bool {
+	n := len(r.Teams)
+	return len(r.Seqs) == n && len(r.Lags) == n && len(r.Rates) == n && r.Shard < shards
+}
+
+// demand returns the demand of a team by its position.
+func (r *request) demand(i int) limit.Demand {
+	d := limit.Demand{Seq: r.Seqs[i], Rate: max(float64(r.Rates[i]), 0)}
+	if lag := uint64(r.Lags[i]); lag > 0 && lag < d.Seq {
+		d.Confirmed = d.Seq - lag
+	}
+	return d
+}
+
+// add appends the answer for one team. The shortest lease holds for all.
+func (a *answer) add(g limit.Grant, ok bool) {
+	if !ok {
+		a.Rates = append(a.Rates, noGrant)
+		return
+	}
+	ttl := g.TTL.Milliseconds()
+	if a.TTL == 0 || ttl < a.TTL {
+		a.TTL = ttl
+	}
+	a.Generation = g.Generation
+	a.Rates = append(a.Rates, float32(g.Rate))
+}
+
+// grant returns the grant of a team by its position.
+func (a *answer) grant(i int, seq uint64) (limit.Grant, bool) {
+	if a.Rates[i] < 0 {
+		return limit.Grant{}, false
+	}
+	ttl := time.Duration(a.TTL) * time.Millisecond
+	return limit.Grant{Generation: a.Generation, Seq: seq, Rate: float64(a.Rates[i]), TTL: ttl}, true
+}
--- a/entry/server/operator.go
+++ b/entry/server/operator.go
@@ -6,9 +6,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/siskinford/siskinford/core/ops"
-	"github.com/siskinford/siskinford/entry/dispatch"
-	"github.com/siskinford/siskinford/entry/problem"
-	"github.com/siskinford/siskinford/fleet/config"
 )
 
 func (s *Server) operatorHandler() http.Handler {
@@ -32,10 +29,3 @@
 func (s *Server) Ready() bool {
 	return s.holder.Current().Complete() && s.endpoints.Settled()
 }
-
-// unlimited admits every call.
-type unlimited struct{}
-
-func (unlimited) Admit(config.Team, *dispatch.Call) (func(uint32), *problem.Problem) {
-	return func(uint32) {}, nil
-}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -50,6 +51,7 @@
 	table     *route.Table
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
+	limits    *limits.Limits
 	callers   *http.Server
 	operators *http.Server
 
@@ -85,7 +87,12 @@
 	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+		s.limits.SetTeams(n.Teams())
 	})
+	if s.limits, err = s.newLimits(); err != nil {
+		cancel()
+		return nil, err
+	}
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
@@ -103,7 +110,7 @@
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
 		Dispatcher: dispatcher,
-		Admitter:   unlimited{},
+		Admitter:   limited{limits: s.limits},
 		Actions: actions.New(actions.Deps{
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
 			Claimer: actions.NewKeyClaimer(s.claims),
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -21,6 +21,9 @@
 	s.Duration(&c.Dispatch.RecoveryTimeout, "recovery-timeout", "Time in which a started answer must be found again after a lost connection")
 	s.Int(&c.Endpoints.RemoteEndpoints, "remote-endpoints", "endpoints", "Endpoints of each service used in each other zone")
 	s.Duration(&c.Endpoints.ReportInterval, "report-interval", "Time between load reports of endpoints in the own zone")
+	s.Duration(&c.Limits.Interval, "limit-interval", "Time between exchanges of the teams' limits; 2s above 16 entries of a zone")
+	s.Int(&c.Limits.Zones, "limit-zones", "zones", "Greatest number of zones that run at a time, for the floors of limits")
+	s.Int(&c.Limits.EntriesPerZone, "limit-entries-per-zone", "entries", "Greatest number of entries of a zone that run at a time, for the floors of limits")
 	s.Duration(&c.Link.SilenceTimeout, "silence-timeout", "Time without any message after which a connection is abandoned")
 	s.Duration(&c.Link.ProbeInterval, "probe-interval", "Time between probes of a connection")
 }
--- a/fleet/duty/lease.go
+++ b/fleet/duty/lease.go
@@ -93,6 +93,8 @@
 	epoch uint64
 	// validUntil is the end of the lease on the holder's clock.
 	validUntil time.Time
+	// holder is the last known holder, empty if it is not known.
+	holder string
 }
 
 // NewLease returns a lease that is not held. The error holds all findings in cfg.
@@ -120,6 +122,31 @@
 	return l.epoch, true
 }
 
+// Until returns the end of the lease on the holder's clock. It is meaningful
+// only while Valid returns true.
+func (l *Lease) Until() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.validUntil
+}
+
+// Holder returns the last known holder, or the empty text. It may have changed since.
+func (l *Lease) Holder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder
+}
+
+// note makes the holder known to Holder.
+func (l *Lease) note(v leaseValue) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder = v.Holder
+	if v.Released {
+		l.holder = ""
+	}
+}
+
 // Step acquires the lease if it is free, renews it if it is held by this
 // process, and otherwise observes the holder. It makes at most two calls and
 // blocks on the platform. An error leaves the lease as it was.
@@ -206,6 +233,7 @@
 		l.seenAt = l.cfg.Now()
 	}
 	l.seen, l.value, l.doubtful = o, v, false
+	l.note(v)
 	if v.Holder != l.cfg.Holder || v.Released {
 		l.drop()
 	}
@@ -232,6 +260,7 @@
 		return err
 	}
 	l.seen, l.value, l.seenAt, l.doubtful = o, v, l.cfg.Now(), false
+	l.note(v)
 	if !v.Released {
 		l.hold(v.Epoch, sent.Add(l.cfg.TTL-l.cfg.TTL/driftDivisor))
 	}
--- a/fleet/transport/mux.go
+++ b/fleet/transport/mux.go
@@ -19,6 +19,8 @@
 	Configuration
 	// Duties payloads belong to packages that coordinate duties of entries.
 	Duties
+	// Limits payloads divide the teams' limits between entries.
+	Limits
 
 	purposes
 )
@@ -32,6 +34,8 @@
 		return "configuration"
 	case Duties:
 		return "duties"
+	case Limits:
+		return "limits"
 	}
 	return fmt.Sprintf("purpose-%d", byte(p))
 }
