--- a/entry/admission/admission.go
+++ b/entry/admission/admission.go
@@ -45,6 +45,9 @@
 	teams       []admit.Team
 }
 
+// maxRetryAfter bounds the retry time that a team beyond its limit is told.
+const maxRetryAfter = time.Minute
+
 // New returns an Admitter without teams and services.
 func New(d Deps) *Admitter {
 	return &Admitter{deps: d, controllers: make(map[id.Service]*admit.Controller)}
@@ -106,7 +109,7 @@
 		return nil
 	}
 	p := problem.Newf(problem.RateLimited, "team %q has used up its tokens per second", team)
-	p.RetryAfter = retryAfter
+	p.RetryAfter = min(retryAfter, maxRetryAfter)
 	return p
 }
 
@@ -148,9 +151,21 @@
 	return nil
 }
 
+// unused returns the tokens of an admitted call that were not used: all of a
+// call without an answer, otherwise what the answer left of its bound.
+func unused(c *dispatch.Call, used uint32) float64 {
+	switch {
+	case used == 0:
+		return float64(c.Work)
+	case c.Chat == nil:
+		return 0
+	}
+	return max(float64(c.Chat.MaxTokens)-float64(used), 0)
+}
+
 // release gives back what the call did not use.
 func (a *Admitter) release(team id.Team, c *dispatch.Call, used uint32) {
-	unused := float64(c.Work) - float64(used)
+	unused := unused(c, used)
 	if unused <= 0 {
 		return
 	}
--- a/entry/admission/admission_test.go
+++ b/entry/admission/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/problem"
 	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/wire/msg"
 )
 
 // picker expects the same time to first token for every request.
@@ -57,13 +58,13 @@
 			limiter := &bucket{tokens: tc.tokens}
 			a := New(Deps{Picker: tc.picker, Limiter: limiter, Admission: !tc.disabled})
 			a.Update([]config.Team{{Name: "puno"}}, []config.Service{{Name: "s"}})
-			call := &dispatch.Call{Service: "s", Work: 10, Deadline: time.Now().Add(time.Second)}
+			call := &dispatch.Call{Service: "s", Work: 10, Deadline: time.Now().Add(time.Second), Chat: &msg.Chat{MaxTokens: 8}}
 			release, refused := a.Admit(config.Team{Name: "puno"}, call)
 			assert.Equal(t, limiter.tokens, tc.left)
 			if tc.want == "" {
 				assert.Assert(t, refused == nil)
 				release(4)
-				assert.Equal(t, limiter.tokens, tc.left+6, "unused tokens are given back")
+				assert.Equal(t, limiter.tokens, tc.left+4, "tokens that the answer did not use are given back")
 				return
 			}
 			assert.Equal(t, refused.Code, tc.want)
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -52,6 +53,7 @@
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
 	admission *admission.Admitter
+	limits    *limits.Limits
 	callers   *http.Server
 	operators *http.Server
 
@@ -89,12 +91,17 @@
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 		s.admission.Update(n.Teams(), n.Services())
+		s.limits.SetTeams(n.Teams())
 	})
+	if s.limits, err = s.newLimits(); err != nil {
+		cancel()
+		return nil, err
+	}
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
 	}
-	s.admission = admission.New(admission.Deps{Zone: c.Zone, Picker: picker, Admission: c.Admission})
+	s.admission = admission.New(admission.Deps{Zone: c.Zone, Picker: picker, Limiter: s.limits, Admission: c.Admission})
 	s.callers = s.newCallerServer(picker)
 	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
 	return s, nil
