stage rank agent: ranks of a host behind the agent's links

Cause: agent/rank ran only against fakes in one process. Configuration: a service describes the experts of its group, an endpoint its ranks. Metrics of libraries are now on /metrics; they were counted but not shown. duty.Pick stood beside rendezvous.First and is folded into it, with its test. Ruled out: ranks inside the stand-in of the model engine; its step numbers and permits follow another protocol.

--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -39,6 +39,21 @@
 	Keys   *keys.Ring
 	Ring   *timeline.Ring
 	Log    zerolog.Logger
+	// Incarnation is that of the process. Default: a new one.
+	Incarnation id.Incarnation
+	// Ranks runs the ranks on the host, if there are any.
+	Ranks Ranks
+}
+
+// Ranks is the part of the host's ranks that the agent serves. It is implemented
+// by *ranklink.Runner.
+type Ranks interface {
+	// Order takes an order with Group set. It must not block.
+	Order(s *link.Session, o *msg.Order)
+	// Closed tells that a session has ended. It must not block.
+	Closed(s *link.Session)
+	// Run drives the ranks until ctx ends.
+	Run(ctx context.Context)
 }
 
 // Agent is the agent of one endpoint. It is safe for concurrent use.
@@ -98,7 +113,10 @@
 		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
 	}
 	now := monotonicClock()
-	inc := id.NewIncarnation()
+	inc := d.Incarnation
+	if inc == "" {
+		inc = id.NewIncarnation()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		config:      c,
@@ -137,6 +155,9 @@
 	}
 	a.wg.Go(a.housekeeping)
 	a.wg.Go(func() { a.reports.poll(a.ctx) })
+	if a.deps.Ranks != nil {
+		a.wg.Go(func() { a.deps.Ranks.Run(a.ctx) })
+	}
 	a.record(timeline.Event{Kind: "agent.started", Detail: server.Address()})
 	a.deps.Log.Info().Str("event", "agent.operators").Msg(a.OperatorAddress())
 	return nil
--- a/agent/gate/handler.go
+++ b/agent/gate/handler.go
@@ -23,6 +23,9 @@
 // Closed implements link.Handler.
 func (h *handler) Closed(s *link.Session) {
 	h.reports.remove(s)
+	if h.deps.Ranks != nil {
+		h.deps.Ranks.Closed(s)
+	}
 	h.ledger.Detach(func(other ledger.Sink) bool {
 		to, ok := other.(sink)
 		return ok && to.session == s
@@ -50,6 +53,8 @@
 		a.setDrain(o.Drain.Drain, o.Drain.Version)
 	case o.Events != nil:
 		s.Reply(&msg.Reply{ID: o.ID, Events: a.events(o.Events)})
+	case o.Group != nil && a.deps.Ranks != nil:
+		a.deps.Ranks.Order(s, o)
 	}
 }
 
--- a/cmd/siskinford-agent/main.go
+++ b/cmd/siskinford-agent/main.go
@@ -10,7 +10,9 @@
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/gate"
 	"github.com/siskinford/siskinford/agent/plain"
+	"github.com/siskinford/siskinford/agent/ranklink"
 	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/process"
 	"github.com/siskinford/siskinford/core/settings"
 	"github.com/siskinford/siskinford/core/timeline"
@@ -25,6 +27,7 @@
 type options struct {
 	gate     gate.Config
 	keys     keys.Config
+	ranks    ranklink.Config
 	engine   string
 	plain    string
 	shutdown time.Duration
@@ -33,10 +36,11 @@
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	o := options{gate: gate.DefaultConfig(), shutdown: 30 * time.Second, events: 20_000}
+	o := options{gate: gate.DefaultConfig(), ranks: ranklink.DefaultConfig(), shutdown: 30 * time.Second, events: 20_000}
 	set := settings.New(program)
 	o.gate.Register(set)
 	o.keys.Register(set)
+	o.ranks.Register(set)
 	set.String(&o.engine, "engine-url", "Base URL of the model engine on this host")
 	set.String(&o.plain, "plain-url", "Base URL of the plain service on this host")
 	set.Duration(&o.shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
@@ -60,6 +64,7 @@
 func (o *options) validate() finding.List {
 	l := o.gate.Validate()
 	l.Merge("", o.keys.Validate())
+	l.Merge("", o.ranks.Validate())
 	if (o.engine == "") == (o.plain == "") {
 		l.Addf("engine-url", "exactly one of --engine-url and --plain-url must be set")
 	}
@@ -83,5 +88,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.ranks.Group != "" {
+		d.Incarnation = id.NewIncarnation()
+		d.Ranks, err = ranklink.Open(o.ranks, d.Incarnation, timeline.Logged{Ring: d.Ring, Log: d.Log})
+	}
+	if err != nil {
+		return nil, err
+	}
 	return gate.New(o.gate, d)
 }
--- a/cmd/siskinford-lab/main.go
+++ b/cmd/siskinford-lab/main.go
@@ -26,6 +26,7 @@
 	subcommands.Register(&serve.Platform{}, "stand-ins")
 	subcommands.Register(&serve.Engine{}, "stand-ins")
 	subcommands.Register(&serve.Plain{}, "stand-ins")
+	subcommands.Register(&serve.Ranks{}, "stand-ins")
 	subcommands.Register(&serve.ReverseProxy{}, "stand-ins")
 	subcommands.Register(&serve.Certs{}, "stand-ins")
 	flag.Parse()
--- a/core/ops/ops.go
+++ b/core/ops/ops.go
@@ -24,6 +24,7 @@
 	})
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		metrics.WritePrometheus(w, false)
 		metrics.WriteProcessMetrics(w)
 	})
 	r.Get("/debug/pprof/", pprof.Index)
--- a/fleet/claim/route.go
+++ b/fleet/claim/route.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/duty"
+	"github.com/siskinford/siskinford/fleet/rendezvous"
 )
 
 // defaultForwardTimeout bounds a forwarded claim.
@@ -71,7 +71,7 @@
 // owner returns the host that has the duty for the shard of a request.
 func (r *Router) owner(req Request) (id.Host, bool) {
 	shard := r.Local.shardOf(HashKey(req.Team, req.Service, req.Key))
-	return duty.Pick(duty.Name(shardKind(shard)), r.Hosts())
+	return rendezvous.First(shardKind(shard), r.Hosts())
 }
 
 // isVerdict reports a result that another attempt would not change.
--- a/fleet/claim/route_test.go
+++ b/fleet/claim/route_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
-	"github.com/siskinford/siskinford/fleet/duty"
 	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/rendezvous"
 )
 
 // forwarder calls the Claimer of another process and then may lose the answer.
@@ -59,7 +59,7 @@
 				store.list = func() error { return &platform.UnavailableError{Cause: errors.New("outage")} }
 			}
 			hosts := []id.Host{owner}
-			picked, ok := duty.Pick("claims-0000", hosts)
+			picked, ok := rendezvous.First("claims-0000", hosts)
 			assert.Assert(t, ok && picked == owner)
 			f := &forwarder{before: c.before, after: c.after, to: map[id.Host]*claim.Claimer{
 				owner: newClaimer(t, store, clock, nil), other: newClaimer(t, store, clock, nil),
--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -51,6 +51,21 @@
 	Idempotent bool `json:"idempotent,omitempty"`
 	// Group names the rank group whose endpoints serve the model, if any.
 	Group id.Group `json:"group,omitempty"`
+	// Experts describes the ranks and experts of the group. Without it the group
+	// is not coordinated.
+	Experts *Experts `json:"experts,omitempty"`
+}
+
+// Experts describes the expert maps of a group.
+type Experts struct {
+	// Ranks is the number of ranks of the group.
+	Ranks int `json:"ranks"`
+	// Layers is the number of layers with experts.
+	Layers int `json:"layers"`
+	// PerLayer is the number of experts of a layer.
+	PerLayer int `json:"per_layer"`
+	// SlotsPerRank is the number of experts of a layer that a rank can hold.
+	SlotsPerRank int `json:"slots_per_rank"`
 }
 
 // DefaultDeadline applies to services without a deadline of their own.
@@ -90,6 +105,8 @@
 	Weight *float64 `json:"weight,omitempty"`
 	// Drain stops new work while requests in flight finish.
 	Drain bool `json:"drain,omitempty"`
+	// Ranks are the indices of the ranks on the host in the group of the service.
+	Ranks []int `json:"ranks,omitempty"`
 }
 
 // ServiceSet is the value of the services object.
--- a/fleet/config/validate.go
+++ b/fleet/config/validate.go
@@ -105,13 +105,17 @@
 
 func (s *ServiceSet) validate() finding.List {
 	var l finding.List
-	names, models := unique{}, unique{}
+	names, models, groups := unique{}, unique{}, unique{}
 	for i, service := range s.Services {
 		place := fmt.Sprintf("services[%d]", i)
 		checkName(&l, place+".name", string(service.Name))
 		names.add(&l, place+".name", "name", string(service.Name))
 		models.add(&l, place+".model", "model", service.Model)
 		service.validate(&l, place)
+		if service.Experts != nil {
+			groups.add(&l, place+".group", "group", string(service.Group))
+			service.Experts.validate(&l, place, service.Group)
+		}
 	}
 	return l
 }
@@ -209,6 +213,7 @@
 	}
 	if kind == KindEndpoints || kind == KindServices {
 		s.checkEndpointServices(&l, kind)
+		s.checkRanks(&l, kind)
 	}
 	return l
 }
--- a/fleet/duty/duty_test.go
+++ b/fleet/duty/duty_test.go
@@ -4,14 +4,12 @@
 	"context"
 	"errors"
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/duty"
 	"github.com/siskinford/siskinford/fleet/platform"
 	"github.com/siskinford/siskinford/fleet/platform/memstore"
@@ -19,34 +17,6 @@
 
 var leaseCases = flag.Int("duty.cases", 2000, "number of random lease schedules")
 
-func TestPick(t *testing.T) {
-	_, ok := duty.Pick("d", nil)
-	assert.Assert(t, !ok)
-	var hosts []id.Host
-	for i := range 12 {
-		hosts = append(hosts, id.Host(fmt.Sprintf("entry-%02d", i)))
-	}
-	const duties = 1200
-	counts := map[id.Host]int{}
-	for i := range duties {
-		name := duty.Name(fmt.Sprintf("duty-%d", i))
-		picked, ok := duty.Pick(name, hosts)
-		assert.Assert(t, ok)
-		counts[picked]++
-		fewer, _ := duty.Pick(name, hosts[1:])
-		assert.Assert(t, picked == hosts[0] || picked == fewer, "a duty moved between hosts that stayed")
-		reversed := make([]id.Host, 0, len(hosts))
-		for i := range hosts {
-			reversed = append(reversed, hosts[len(hosts)-1-i])
-		}
-		same, _ := duty.Pick(name, reversed)
-		assert.Equal(t, same, picked)
-	}
-	for _, host := range hosts {
-		assert.Assert(t, counts[host] > duties/len(hosts)/2 && counts[host] < duties/len(hosts)*2, "%s has %d duties", host, counts[host])
-	}
-}
-
 const ttl = 10 * time.Second
 
 // fleet is a store with faults, a clock and holders a and b.
--- a/fleet/rendezvous/rendezvous_test.go
+++ b/fleet/rendezvous/rendezvous_test.go
@@ -41,3 +41,31 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(Rank("duty", nil)), 0)
 }
+
+func TestFirst(t *testing.T) {
+	_, ok := First("d", nil)
+	assert.Assert(t, !ok)
+	var hosts []id.Host
+	for i := range 12 {
+		hosts = append(hosts, id.Host(fmt.Sprintf("entry-%02d", i)))
+	}
+	const duties = 1200
+	counts := map[id.Host]int{}
+	for i := range duties {
+		name := fmt.Sprintf("duty-%d", i)
+		picked, ok := First(name, hosts)
+		assert.Assert(t, ok)
+		counts[picked]++
+		fewer, _ := First(name, hosts[1:])
+		assert.Assert(t, picked == hosts[0] || picked == fewer, "a duty moved between hosts that stayed")
+		reversed := make([]id.Host, 0, len(hosts))
+		for i := range hosts {
+			reversed = append(reversed, hosts[len(hosts)-1-i])
+		}
+		same, _ := First(name, reversed)
+		assert.Equal(t, same, picked)
+	}
+	for _, host := range hosts {
+		assert.Assert(t, counts[host] > duties/len(hosts)/2 && counts[host] < duties/len(hosts)*2, "%s has %d duties", host, counts[host])
+	}
+}
--- /dev/null
+++ b/lab/ranks/popularity.go
@@ -0,0 +1,65 @@
+package ranks
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/siskinford/siskinford/balance/expertmap"
+)
+
+// driftSwaps is the number of pairs of experts that exchange their popularity
+// in one change.
+const driftSwaps = 3
+
+// popularity is the load of each expert by layer, drawn from a Zipf distribution.
+type popularity struct {
+	rand  *rand.Rand
+	loads []expertmap.Load
+}
+
+func newPopularity(c Config) *popularity {
+	p := &popularity{rand: rand.New(rand.NewPCG(c.Seed, 1))}
+	for range c.Layers {
+		p.loads = append(p.loads, p.draw(c))
+	}
+	return p
+}
+
+// draw returns loads that sum up to c.Tokens, in random order.
+func (p *popularity) draw(c Config) expertmap.Load {
+	load := make(expertmap.Load, c.Experts)
+	var sum float64
+	for place, e := range p.rand.Perm(c.Experts) {
+		load[e] = math.Pow(float64(place+1), -c.Exponent)
+		sum += load[e]
+	}
+	for e := range load {
+		load[e] *= c.Tokens / sum
+	}
+	return load
+}
+
+// drift exchanges the hottest expert of each layer, and some random ones, with others.
+func (p *popularity) drift() {
+	for _, load := range p.loads {
+		p.swap(load, hottest(load))
+		for range driftSwaps {
+			p.swap(load, p.rand.IntN(len(load)))
+		}
+	}
+}
+
+func (p *popularity) swap(load expertmap.Load, e int) {
+	other := p.rand.IntN(len(load))
+	load[e], load[other] = load[other], load[e]
+}
+
+func hottest(load expertmap.Load) int {
+	best := 0
+	for e := range load {
+		if load[e] > load[best] {
+			best = e
+		}
+	}
+	return best
+}
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -26,6 +26,8 @@
 	Peer *Peer `cbor:"10,keyasint,omitempty"`
 	// Events asks for events of the time line.
 	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
+	// Group is for the ranks on the agent's host.
+	Group *Group `cbor:"16,keyasint,omitempty"`
 }
 
 // Reply is a message from the listening side of a connection. Exactly one of the
@@ -40,6 +42,14 @@
 	Probe   *Probe   `cbor:"6,keyasint,omitempty"`
 	Peer    *Peer    `cbor:"7,keyasint,omitempty"`
 	Events  *Events  `cbor:"8,keyasint,omitempty"`
+	// Group is sent to each session that sent an order with Group, under the ID
+	// of the first one.
+	Group *Group `cbor:"16,keyasint,omitempty"`
+}
+
+// Group carries an encoded groupmsg.Order to an agent, or a groupmsg.Status from it.
+type Group struct {
+	Payload []byte `cbor:"1,keyasint,omitempty"`
 }
 
 // Peer carries an encoded message of package fleet.
