stage group coordinator: entries coordinate the groups in the configuration

Cause: entry/coordinator had no lease, no transport and no place in the entry. Change: entry/groups takes part in the lease group/NAME (first two hosts of the zone's ranking), ticks the coordinator and carries its messages over links; gauges per group; events staged, formed, switched. Claims are expired by one host of each zone (duty claims). Each start of a group uses a new lease holder, so that an epoch never serves two coordinators.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -87,6 +87,7 @@
 	sincePlan int
 	phase     lockstep.Phase
 	silent    []int
+	committed lockstep.Target
 }
 
 // New returns a duty that is idle until the process holds the lease.
@@ -103,6 +104,8 @@
 	Phase  lockstep.Phase `json:"phase"`
 	// Committed is the decision that every rank has taken, if there is one.
 	Committed lockstep.Target `json:"committed"`
+	// Step is the greatest next step that a rank has reported.
+	Step lockstep.Step `json:"step"`
 	// WaitsFor are the ranks that have not done yet what the phase needs.
 	WaitsFor []int `json:"waits_for"`
 	// Silent are the ranks whose agent or engine has not answered lately.
@@ -122,6 +125,11 @@
 	s.Committed, _ = d.core.Committed()
 	s.WaitsFor = d.core.WaitsFor()
 	s.Silent = d.core.Silent()
+	for i := range d.cfg.Shape.Ranks {
+		if r, ok := d.core.Report(i); ok {
+			s.Step = max(s.Step, r.Next)
+		}
+	}
 	return s
 }
 
@@ -188,6 +196,7 @@
 	d.sincePlan = 0
 	d.phase = ""
 	d.silent = nil
+	d.committed = lockstep.Target{}
 	d.record(EventStarted, "lease %d", number)
 }
 
--- a/entry/coordinator/plan.go
+++ b/entry/coordinator/plan.go
@@ -22,6 +22,12 @@
 	EventPhase timeline.Kind = "coordinator.phase"
 	// EventSilent tells which ranks have not answered lately.
 	EventSilent timeline.Kind = "coordinator.silent-ranks"
+	// EventStaged tells that every rank holds the weights of a map.
+	EventStaged timeline.Kind = "coordinator.staged"
+	// EventFormed tells that every rank is part of a new formation.
+	EventFormed timeline.Kind = "coordinator.formed"
+	// EventSwitched tells that every rank has the decision to use another map.
+	EventSwitched timeline.Kind = "coordinator.switched"
 	// EventPlanned tells the figures of a change that was set out on.
 	EventPlanned timeline.Kind = "coordinator.planned"
 )
@@ -36,6 +42,7 @@
 // advance notes the phase, keeps the atlas up to date and plans if it is time to.
 func (d *Duty) advance() {
 	d.notePhase()
+	d.noteCommitted()
 	reports, ok := d.reports()
 	if !ok || d.phase == lockstep.PhaseFenced {
 		return
@@ -54,6 +61,9 @@
 	if phase == d.phase {
 		return
 	}
+	if d.phase == lockstep.PhaseStaging && (phase == lockstep.PhaseChanging || phase == lockstep.PhaseForming) {
+		d.record(EventStaged, "map %d", d.core.Staging())
+	}
 	d.phase = phase
 	d.record(EventPhase, "%s at epoch %d, waits for ranks %v", phase, d.core.Epoch(), d.core.WaitsFor())
 	if phase == lockstep.PhaseFenced {
@@ -62,6 +72,21 @@
 	}
 }
 
+// noteCommitted records a decision that every rank has taken. The first one that
+// a coordinator finds may be that of an earlier coordinator.
+func (d *Duty) noteCommitted() {
+	t, ok := d.core.Committed()
+	if !ok || t == d.committed {
+		return
+	}
+	d.committed = t
+	kind := EventSwitched
+	if t.Forms() {
+		kind = EventFormed
+	}
+	d.record(kind, "map %d from step %d of formation %d", t.Map, t.Step, t.Formation)
+}
+
 func (d *Duty) noteSilent() {
 	silent := d.core.Silent()
 	if slices.Equal(silent, d.silent) {
--- /dev/null
+++ b/entry/groups/config.go
@@ -0,0 +1,53 @@
+// Package groups performs the coordinators' duty for the groups of ranks in the
+// configuration: it takes part in the lease of each group, drives its coordinator
+// while the lease is held, and carries its messages over the links to the agents.
+package groups
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/settings"
+)
+
+// Config sets up a Manager.
+type Config struct {
+	// Host is the name of this machine. It is set by the entry.
+	Host id.Host
+	// Tick is the time between two ticks of a coordinator. Default: 100 ms.
+	Tick time.Duration
+	// LeaseTTL is the time for which the lease of a group is renewed. Default: 10 s.
+	LeaseTTL time.Duration
+	// PlanInterval is the time between two plans of a group's map. Default: 1 min.
+	PlanInterval time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{Tick: 100 * time.Millisecond, LeaseTTL: 10 * time.Second, PlanInterval: time.Minute}
+}
+
+// Register registers the settings, with the values of c as defaults.
+func (c *Config) Register(s *settings.Set) {
+	s.Duration(&c.Tick, "group-tick", "Time between two ticks of the coordinator of a group of ranks")
+	s.Duration(&c.LeaseTTL, "group-lease", "Time for which the lease of a group's coordinator is renewed")
+	s.Duration(&c.PlanInterval, "group-plan-interval", "Time between two plans of a group's expert map")
+}
+
+// Validate reports all values out of range.
+func (c Config) Validate() finding.List {
+	var l finding.List
+	for _, d := range []struct {
+		name  string
+		value time.Duration
+	}{{"group-tick", c.Tick}, {"group-lease", c.LeaseTTL}, {"group-plan-interval", c.PlanInterval}} {
+		if d.value <= 0 {
+			l.Addf(d.name, "duration %v is not positive", d.value)
+		}
+	}
+	return l
+}
+
+// planTicks returns the number of ticks between two plans.
+func (c Config) planTicks() int { return max(1, int(c.PlanInterval/c.Tick)) }
--- /dev/null
+++ b/entry/groups/groups.go
@@ -0,0 +1,204 @@
+package groups
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/balance/expertmap"
+	"github.com/siskinford/siskinford/balance/groupmsg"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/coordinator"
+	"github.com/siskinford/siskinford/fleet/config"
+	"github.com/siskinford/siskinford/fleet/duty"
+	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/wire/link"
+)
+
+// Deps are the parts that a Manager works with.
+type Deps struct {
+	Store platform.Store
+	// Pool connects to agents.
+	Pool *link.Pool
+	// Live returns the live entry hosts of the zone, the own included. It does not block.
+	Live     func() []id.Host
+	Recorder timeline.Recorder
+	// Metrics takes the gauges of each group.
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+}
+
+// Manager performs the duty for all configured groups. It is safe for concurrent use.
+type Manager struct {
+	config Config
+	deps   Deps
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	// mu is taken before the locks of a group's links and coordinator.
+	mu     sync.Mutex
+	groups map[id.Group]*group
+	closed bool
+}
+
+// group is the process's part in one group.
+type group struct {
+	experts config.Experts
+	duty    *coordinator.Duty
+	links   *links
+	cancel  context.CancelFunc
+}
+
+// New returns a Manager without groups.
+func New(c Config, d Deps) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{config: c, deps: d, ctx: ctx, cancel: cancel, groups: map[id.Group]*group{}}
+}
+
+// Close ends the duties and gives up their leases. It blocks for up to a second.
+func (m *Manager) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.cancel()
+	m.wg.Wait()
+}
+
+// Update follows the configuration. It does not block.
+func (m *Manager) Update(s *config.Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	wanted := map[id.Group]bool{}
+	for _, service := range s.Services() {
+		if service.Experts == nil {
+			continue
+		}
+		wanted[service.Group] = true
+		if g := m.ensure(service.Group, *service.Experts); g != nil {
+			g.links.update(s.EndpointsOf(service.Name))
+		}
+	}
+	for name, g := range m.groups {
+		if !wanted[name] {
+			g.cancel()
+			delete(m.groups, name)
+		}
+	}
+}
+
+// ensure returns the group, started anew if its experts have changed. The caller
+// holds m.mu.
+func (m *Manager) ensure(name id.Group, e config.Experts) *group {
+	g := m.groups[name]
+	if g != nil && g.experts == e {
+		return g
+	}
+	if g != nil {
+		g.cancel()
+		delete(m.groups, name)
+	}
+	g, err := m.start(name, e)
+	if err != nil {
+		m.deps.Log.Error().Err(err).Str("event", "coordinator.failed").Str("duty", string(name)).Msg("group is not coordinated")
+		return nil
+	}
+	m.groups[name] = g
+	return g
+}
+
+// start begins to take part in a group. The holder of its lease is new each time,
+// so that no fencing number is used by two coordinators.
+func (m *Manager) start(name id.Group, e config.Experts) (*group, error) {
+	key := "group/" + string(name)
+	lease, err := duty.NewLease(duty.LeaseConfig{
+		Store: m.deps.Store, Duty: duty.Name(key), TTL: m.config.LeaseTTL,
+		Holder: string(m.config.Host) + "/" + string(id.NewIncarnation()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	g := &group{experts: e, cancel: cancel}
+	source := &leases{lease: lease, ttl: m.config.LeaseTTL, key: key, self: m.config.Host, live: m.deps.Live}
+	g.links = newLinks(ctx, m.deps.Pool, func(s groupmsg.Status) { g.duty.Receive(s) })
+	g.duty = coordinator.New(coordinator.Config{
+		Group: name, Layers: e.Layers, PlanTicks: m.config.planTicks(), Recorder: m.deps.Recorder,
+		Shape: expertmap.Config{Ranks: e.Ranks, Experts: e.PerLayer, SlotsPerRank: e.SlotsPerRank},
+	}, source, g.links)
+	m.wg.Go(func() { source.run(ctx) })
+	m.wg.Go(func() { m.tick(ctx, g) })
+	m.register(name)
+	return g, nil
+}
+
+func (m *Manager) tick(ctx context.Context, g *group) {
+	ticker := time.NewTicker(m.config.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.links.wg.Wait()
+			return
+		case <-ticker.C:
+			g.duty.Tick()
+		}
+	}
+}
+
+// Status returns what is known of each group, in order of name.
+func (m *Manager) Status() []coordinator.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []coordinator.Status
+	for _, g := range m.groups {
+		out = append(out, g.duty.Status())
+	}
+	slices.SortFunc(out, func(a, b coordinator.Status) int { return cmp.Compare(a.Group, b.Group) })
+	return out
+}
+
+// register adds the gauges of a group, which are zero while another process
+// coordinates it.
+func (m *Manager) register(name id.Group) {
+	for _, gauge := range []struct {
+		name string
+		read func(coordinator.Status) float64
+	}{
+		{"siskinford_group_step", func(s coordinator.Status) float64 { return float64(s.Step) }},
+		{"siskinford_group_map_version", func(s coordinator.Status) float64 { return float64(s.Committed.Map) }},
+		{"siskinford_group_silent_ranks", func(s coordinator.Status) float64 { return float64(len(s.Silent)) }},
+		{"siskinford_group_coordinator", func(s coordinator.Status) float64 { return active(s) }},
+	} {
+		m.deps.Metrics.GetOrCreateGauge(fmt.Sprintf("%s{group=%q}", gauge.name, string(name)), func() float64 {
+			return gauge.read(m.status(name))
+		})
+	}
+}
+
+func active(s coordinator.Status) float64 {
+	if s.Active {
+		return 1
+	}
+	return 0
+}
+
+func (m *Manager) status(name id.Group) coordinator.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.groups[name]
+	if g == nil {
+		return coordinator.Status{Group: name}
+	}
+	return g.duty.Status()
+}
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -11,6 +11,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/wire/link"
 )
 
@@ -47,6 +48,7 @@
 	Caller    caller.Config
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
+	Groups    groups.Config
 	Link      link.Config
 }
 
@@ -63,6 +65,7 @@
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
+		Groups:         groups.DefaultConfig(),
 		Link:           link.DefaultConfig(),
 	}
 }
@@ -90,6 +93,7 @@
 	}
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
+	l.Merge("", c.Groups.Validate())
 	l.Merge("link-", c.Link.Validate())
 	return l
 }
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -56,7 +56,7 @@
 	mux.Register(transport.Membership, n.members.Handle)
 	mux.Register(transport.Configuration, n.spreader.Handle)
 	mux.Register(transport.Duties, n.hosts.Handle)
-	for _, run := range []func(context.Context){n.members.Run, n.spreader.Run, n.hosts.Run} {
+	for _, run := range []func(context.Context){n.members.Run, n.spreader.Run, n.hosts.Run, s.expireClaims} {
 		s.wg.Go(func() { run(s.ctx) })
 	}
 	return nil
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -50,6 +51,7 @@
 	table     *route.Table
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
+	groups    *groups.Manager
 	callers   *http.Server
 	operators *http.Server
 
@@ -85,7 +87,9 @@
 	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+		s.groups.Update(n)
 	})
+	s.groups = s.newGroups()
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
@@ -172,6 +176,7 @@
 	s.stopping.Store(true)
 	s.events.Record(timeline.Event{Kind: "entry.stopping"})
 	s.node.members.Leave()
+	s.groups.Close()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -23,4 +23,5 @@
 	s.Duration(&c.Endpoints.ReportInterval, "report-interval", "Time between load reports of endpoints in the own zone")
 	s.Duration(&c.Link.SilenceTimeout, "silence-timeout", "Time without any message after which a connection is abandoned")
 	s.Duration(&c.Link.ProbeInterval, "probe-interval", "Time between probes of a connection")
+	c.Groups.Register(s)
 }
