--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -43,6 +43,8 @@
 	Services []config.Service
 	// EngineArgs, PlainArgs, AgentArgs and EntryArgs are added to the command lines.
 	EngineArgs, PlainArgs, AgentArgs, EntryArgs []string
+	// Ranks describes the group of ranks, nil for none.
+	Ranks *RankOptions
 }
 
 // Endpoint is an agent with its back end. Entries reach the agent through Proxy.
@@ -80,6 +82,7 @@
 	Store       *platform.Client
 	Endpoints   []*Endpoint
 	Entries     []*Entry
+	Ranks       *Ranks
 }
 
 // certValidity is how long the certificates of a cluster are valid.
@@ -119,6 +122,9 @@
 	if c.Store, err = platform.NewClient(platform.ClientConfig{BaseURL: c.PlatformURL, Caller: "lab"}); err != nil {
 		return err
 	}
+	if err := c.startRanks(ctx); err != nil {
+		return err
+	}
 	for i := range c.options.Models {
 		if err := c.addEndpoint(ctx, ModelService, i); err != nil {
 			return err
@@ -181,6 +187,7 @@
 		return err
 	}
 	e.args = append([]string{"--endpoint=" + string(name), "--host=" + string(e.Config.Host), flag + e.BackendURL}, c.options.AgentArgs...)
+	c.addRanks(e, i)
 	address, err := c.startAgent(ctx, e)
 	if err != nil {
 		return err
@@ -402,6 +409,9 @@
 			e.Proxy.Close()
 		}
 	}
+	if c.Ranks != nil {
+		kill(c.Ranks.Process)
+	}
 	if c.Store != nil {
 		c.Store.Close()
 	}
