stage group changes: no change is begun on a lease that was not renewed

Cause: a coordinator that loses the platform in a change leaves the group standing at the promised step until another one answers; with plans every 500 ms and a lease of 1 s most outages would have met a change. Change: Leases.Renewed; lockstep.Coordinator.SetCautious keeps changes from being begun while less than half of the lease is left. Each started change has half a lease to end. Shown failing first: TestNoChangeWithoutRenewal without the check in decideIntact. Run: go test ./itest -run 'TestOneMapPerStep|TestGroupRunsOn|TestCoordinatorCut' passes (77 s).

--- a/balance/lockstep/coordinator.go
+++ b/balance/lockstep/coordinator.go
@@ -80,6 +80,8 @@
 	phase    Phase
 	staging  Version
 	waiting  []int
+	// cautious keeps changes from being begun.
+	cautious bool
 }
 
 // NewCoordinator returns a coordinator for the lease with the given fencing number.
@@ -132,6 +134,10 @@
 // SetTarget sets the map that the group shall use. Lower versions than an earlier one are ignored.
 func (c *Coordinator) SetTarget(v Version) { c.target = max(c.target, v) }
 
+// SetCautious keeps the coordinator from beginning a change of the map while
+// cautious is true. It completes what was begun, and forms the group if needed.
+func (c *Coordinator) SetCautious(cautious bool) { c.cautious = cautious }
+
 // Receive handles a report and returns commands to send.
 func (c *Coordinator) Receive(r Report) []Command {
 	if c.phase == PhaseFenced || r.Rank < 0 || r.Rank >= len(c.ranks) {
--- a/balance/lockstep/decide.go
+++ b/balance/lockstep/decide.go
@@ -129,7 +129,7 @@
 	if resume := c.resume(); len(resume) > 0 {
 		return resume
 	}
-	if c.target <= top.Map || len(c.Silent()) > 0 {
+	if c.target <= top.Map || c.cautious || len(c.Silent()) > 0 {
 		c.phase = PhaseSteady
 		return nil
 	}
--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -22,6 +22,9 @@
 	// happen elsewhere. Fencing numbers of a group start at one, never repeat and
 	// only grow; a process that starts again gets a new one.
 	Hold() (number uint64, held bool)
+	// Renewed reports whether the lease lasts long enough to complete a change: a
+	// group whose change is left half done stands still. It does not block.
+	Renewed() bool
 	// Fenced tells that the number can no longer be used, mostly because a higher
 	// one is in use. A new number is needed to go on. It does not block.
 	Fenced(number uint64)
@@ -141,6 +144,7 @@
 		return
 	}
 	d.sincePlan++
+	d.core.SetCautious(!d.leases.Renewed())
 	d.advance()
 	d.send(d.core.Tick())
 	d.noteSilent()
--- a/entry/coordinator/coordinator_test.go
+++ b/entry/coordinator/coordinator_test.go
@@ -14,11 +14,13 @@
 type fakeLease struct {
 	number uint64
 	held   bool
+	late   bool
 	fenced []uint64
 }
 
 func (l *fakeLease) Hold() (uint64, bool) { return l.number, l.held }
 
+func (l *fakeLease) Renewed() bool        { return !l.late }
 func (l *fakeLease) Fenced(number uint64) { l.fenced = append(l.fenced, number) }
 
 type sentOrders struct{ orders []groupmsg.Order }
@@ -204,3 +206,31 @@
 	assert.DeepEqual(t, l.fenced, []uint64{1})
 	assert.Equal(t, d.made, uint16(math.MaxUint16))
 }
+
+// TestNoChangeWithoutRenewal verifies that a lease which was not renewed in time
+// begins no change, and that the change goes on after the renewal.
+func TestNoChangeWithoutRenewal(t *testing.T) {
+	d, l, s := newTestDuty()
+	d.Tick()
+	epoch := lockstep.NewEpoch(1)
+	layouts := []groupmsg.Layout{{{0, 1}}, {{2, 0}}}
+	for seq := range uint64(2) {
+		for rank := range 2 {
+			status := running(rank, epoch, seq+1)
+			status.Described = &groupmsg.Weights{Map: 9, Layout: layouts[rank]}
+			status.Loads = &groupmsg.Loads{Map: 9, Steps: 1, Tokens: [][]uint64{{1000, 100_000}}}
+			d.Receive(status)
+		}
+	}
+	l.late = true
+	s.take()
+	for range 3 {
+		d.Tick()
+	}
+	for _, o := range s.take() {
+		assert.Equal(t, o.Command.Kind, lockstep.Join)
+	}
+	l.late = false
+	d.Tick()
+	assert.Equal(t, d.Status().Phase, lockstep.PhaseStaging)
+}
--- a/entry/groups/lease.go
+++ b/entry/groups/lease.go
@@ -44,6 +44,13 @@
 	return number, held && number > l.fenced
 }
 
+// Renewed implements coordinator.Leases. A lease that is renewed in time lasts for
+// more than half of its time at any moment.
+func (l *leases) Renewed() bool {
+	_, held := l.lease.Valid(time.Now().Add(l.ttl / 2))
+	return held
+}
+
 // Fenced implements coordinator.Leases.
 func (l *leases) Fenced(number uint64) {
 	l.mu.Lock()
--- a/itest/group/world_test.go
+++ b/itest/group/world_test.go
@@ -38,6 +38,8 @@
 
 func (l *lease) Hold() (uint64, bool) { return l.number, l.held }
 
+func (l *lease) Renewed() bool { return l.held }
+
 // Fenced gives the lease up.
 func (l *lease) Fenced(uint64) { l.held = false }
 
