--- a/itest/ranks_test.go
+++ b/itest/ranks_test.go
@@ -200,7 +200,7 @@
 			assert.NilError(w.t, w.Ranks.SetFaults(w.ctx, 5, ranks.Faults{}))
 		}},
 		{"orders take effect late, engines check fencing", []string{"--fencing"}, func(w *groupWorld) {
-			late := ranks.Faults{OrderDelay: 400}
+			late := ranks.Faults{OrderDelay: 1200}
 			assert.NilError(w.t, w.Ranks.SetFaults(w.ctx, 2, late))
 			w.awaitChange()
 			assert.NilError(w.t, w.Ranks.SetFaults(w.ctx, 2, ranks.Faults{}))
