--- a/agent/ranklink/config.go
+++ b/agent/ranklink/config.go
@@ -25,13 +25,13 @@
 	Tick time.Duration
 	// EngineTimeout bounds one pass over an engine. Default: 1 s.
 	EngineTimeout time.Duration
-	// LoadInterval is the time between reports of the experts' loads. Default: 5 s.
+	// LoadInterval is the time between reports of the experts' loads. Default: 30 s.
 	LoadInterval time.Duration
 }
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
-	return Config{Tick: 100 * time.Millisecond, EngineTimeout: time.Second, LoadInterval: 5 * time.Second}
+	return Config{Tick: 100 * time.Millisecond, EngineTimeout: time.Second, LoadInterval: 30 * time.Second}
 }
 
 // Register registers the settings, with the values of c as defaults.
--- a/entry/groups/config.go
+++ b/entry/groups/config.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/siskinford/siskinford/balance/lockstep"
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/settings"
@@ -17,6 +18,9 @@
 	Host id.Host
 	// Tick is the time between two ticks of a coordinator. Default: 100 ms.
 	Tick time.Duration
+	// PollInterval is the time between two polls of all ranks. A rank that missed
+	// three polls counts as silent. Default: 2.5 s.
+	PollInterval time.Duration
 	// LeaseTTL is the time for which the lease of a group is renewed. Default: 10 s.
 	LeaseTTL time.Duration
 	// PlanInterval is the time between two plans of a group's map. Default: 1 min.
@@ -25,12 +29,16 @@
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
-	return Config{Tick: 100 * time.Millisecond, LeaseTTL: 10 * time.Second, PlanInterval: time.Minute}
+	return Config{
+		Tick: 100 * time.Millisecond, PollInterval: 2500 * time.Millisecond,
+		LeaseTTL: 10 * time.Second, PlanInterval: time.Minute,
+	}
 }
 
 // Register registers the settings, with the values of c as defaults.
 func (c *Config) Register(s *settings.Set) {
 	s.Duration(&c.Tick, "group-tick", "Time between two ticks of the coordinator of a group of ranks")
+	s.Duration(&c.PollInterval, "group-poll-interval", "Time between two polls of the ranks of a group")
 	s.Duration(&c.LeaseTTL, "group-lease", "Time for which the lease of a group's coordinator is renewed")
 	s.Duration(&c.PlanInterval, "group-plan-interval", "Time between two plans of a group's expert map")
 }
@@ -41,7 +49,7 @@
 	for _, d := range []struct {
 		name  string
 		value time.Duration
-	}{{"group-tick", c.Tick}, {"group-lease", c.LeaseTTL}, {"group-plan-interval", c.PlanInterval}} {
+	}{{"group-tick", c.Tick}, {"group-poll-interval", c.PollInterval}, {"group-lease", c.LeaseTTL}, {"group-plan-interval", c.PlanInterval}} {
 		if d.value <= 0 {
 			l.Addf(d.name, "duration %v is not positive", d.value)
 		}
@@ -49,5 +57,13 @@
 	return l
 }
 
-// planTicks returns the number of ticks between two plans.
-func (c Config) planTicks() int { return max(1, int(c.PlanInterval/c.Tick)) }
+// missedPolls is the number of missed polls after which a rank counts as silent.
+const missedPolls = 3
+
+// ticks returns the number of ticks in d, at least one.
+func (c Config) ticks(d time.Duration) int { return max(1, int(d/c.Tick)) }
+
+func (c Config) lockstep() lockstep.Config {
+	poll := c.ticks(c.PollInterval)
+	return lockstep.Config{PollTicks: poll, FreshTicks: missedPolls * poll}
+}
--- a/entry/groups/groups.go
+++ b/entry/groups/groups.go
@@ -133,7 +133,8 @@
 	source := &leases{lease: lease, ttl: m.config.LeaseTTL, key: key, self: m.config.Host, live: m.deps.Live}
 	g.links = newLinks(ctx, m.deps.Pool, func(s groupmsg.Status) { g.duty.Receive(s) })
 	g.duty = coordinator.New(coordinator.Config{
-		Group: name, Layers: e.Layers, PlanTicks: m.config.planTicks(), Recorder: m.deps.Recorder,
+		Group: name, Layers: e.Layers,
+		PlanTicks: m.config.ticks(m.config.PlanInterval), Lockstep: m.config.lockstep(), Recorder: m.deps.Recorder,
 		Shape: expertmap.Config{Ranks: e.Ranks, Experts: e.PerLayer, SlotsPerRank: e.SlotsPerRank},
 	}, source, g.links)
 	m.wg.Go(func() { source.run(ctx) })
--- a/itest/ranks_test.go
+++ b/itest/ranks_test.go
@@ -28,20 +28,28 @@
 	*procs.Cluster
 }
 
+// newGroupWorld starts a group whose map changes with the drift of the experts'
+// popularity, and waits for the first change. Args are for the engines.
 func newGroupWorld(t *testing.T, args ...string) *groupWorld {
+	t.Helper()
+	args = append([]string{"--jitter=3ms", "--drift=300ms"}, args...)
+	w := startGroupWorld(t, args, "--group-plan-interval=500ms")
+	w.awaitChange()
+	return w
+}
+
+func startGroupWorld(t *testing.T, engineArgs []string, entryArgs ...string) *groupWorld {
 	t.Helper()
 	ctx, c := cluster(t, procs.Options{
 		Entries: 2, Models: 3,
 		Ranks: &procs.RankOptions{
 			Experts: config.Experts{Ranks: 6, Layers: 2, PerLayer: 12, SlotsPerRank: 3},
-			Args:    append([]string{"--jitter=3ms", "--drift=300ms", "--step-time=3ms"}, args...),
+			Args:    append([]string{"--step-time=3ms"}, engineArgs...),
 		},
-		EntryArgs: []string{"--group-tick=20ms", "--group-lease=2s", "--group-plan-interval=500ms"},
+		EntryArgs: append([]string{"--group-tick=20ms", "--group-lease=2s", "--group-poll-interval=80ms"}, entryArgs...),
 		AgentArgs: []string{"--rank-tick=10ms", "--rank-load-interval=100ms", "--rank-engine-timeout=300ms"},
 	})
-	w := &groupWorld{t: t, ctx: ctx, Cluster: c}
-	w.awaitChange()
-	return w
+	return &groupWorld{t: t, ctx: ctx, Cluster: c}
 }
 
 // until waits for a condition, for as long as the test may take.
