--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -22,6 +22,9 @@
 	// happen elsewhere. Fencing numbers of a group start at one, never repeat and
 	// only grow; a process that starts again gets a new one.
 	Hold() (number uint64, held bool)
+	// Renewed reports whether the lease lasts long enough to complete a change: a
+	// group whose change is left half done stands still. It does not block.
+	Renewed() bool
 	// Fenced tells that the number can no longer be used, mostly because a higher
 	// one is in use. A new number is needed to go on. It does not block.
 	Fenced(number uint64)
@@ -87,6 +90,7 @@
 	sincePlan int
 	phase     lockstep.Phase
 	silent    []int
+	committed lockstep.Target
 }
 
 // New returns a duty that is idle until the process holds the lease.
@@ -103,6 +107,8 @@
 	Phase  lockstep.Phase `json:"phase"`
 	// Committed is the decision that every rank has taken, if there is one.
 	Committed lockstep.Target `json:"committed"`
+	// Step is the greatest next step that a rank has reported.
+	Step lockstep.Step `json:"step"`
 	// WaitsFor are the ranks that have not done yet what the phase needs.
 	WaitsFor []int `json:"waits_for"`
 	// Silent are the ranks whose agent or engine has not answered lately.
@@ -122,6 +128,11 @@
 	s.Committed, _ = d.core.Committed()
 	s.WaitsFor = d.core.WaitsFor()
 	s.Silent = d.core.Silent()
+	for i := range d.cfg.Shape.Ranks {
+		if r, ok := d.core.Report(i); ok {
+			s.Step = max(s.Step, r.Next)
+		}
+	}
 	return s
 }
 
@@ -133,6 +144,7 @@
 		return
 	}
 	d.sincePlan++
+	d.core.SetCautious(!d.leases.Renewed())
 	d.advance()
 	d.send(d.core.Tick())
 	d.noteSilent()
@@ -188,6 +200,7 @@
 	d.sincePlan = 0
 	d.phase = ""
 	d.silent = nil
+	d.committed = lockstep.Target{}
 	d.record(EventStarted, "lease %d", number)
 }
 
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -11,6 +11,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/wire/link"
 )
@@ -49,6 +50,7 @@
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
 	Limits    limits.Config
+	Groups    groups.Config
 	Link      link.Config
 }
 
@@ -66,6 +68,7 @@
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
 		Limits:         limits.DefaultConfig(),
+		Groups:         groups.DefaultConfig(),
 		Link:           link.DefaultConfig(),
 	}
 }
@@ -94,6 +97,7 @@
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
 	l.Merge("limit-", c.Limits.Validate())
+	l.Merge("", c.Groups.Validate())
 	l.Merge("link-", c.Link.Validate())
 	return l
 }
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -60,7 +60,9 @@
 	if err := s.connectLimits(mux); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){n.members.Run, n.spreader.Run, n.hosts.Run, s.limits.Run} {
+	for _, run := range []func(context.Context){
+		n.members.Run, n.spreader.Run, n.hosts.Run, s.limits.Run, s.expireClaims,
+	} {
 		s.wg.Go(func() { run(s.ctx) })
 	}
 	return nil
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
@@ -54,6 +55,7 @@
 	claims    *claim.Claimer
 	admission *admission.Admitter
 	limits    *limits.Limits
+	groups    *groups.Manager
 	callers   *http.Server
 	operators *http.Server
 
@@ -92,11 +94,13 @@
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 		s.admission.Update(n.Teams(), n.Services())
 		s.limits.SetTeams(n.Teams())
+		s.groups.Update(n)
 	})
 	if s.limits, err = s.newLimits(); err != nil {
 		cancel()
 		return nil, err
 	}
+	s.groups = s.newGroups()
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
@@ -184,6 +188,7 @@
 	s.stopping.Store(true)
 	s.events.Record(timeline.Event{Kind: "entry.stopping"})
 	s.node.members.Leave()
+	s.groups.Close()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -28,4 +28,5 @@
 	s.Int(&c.Limits.EntriesPerZone, "limit-entries-per-zone", "entries", "Greatest number of entries of a zone that run at a time, for the floors of limits")
 	s.Duration(&c.Link.SilenceTimeout, "silence-timeout", "Time without any message after which a connection is abandoned")
 	s.Duration(&c.Link.ProbeInterval, "probe-interval", "Time between probes of a connection")
+	c.Groups.Register(s)
 }
