--- a/operate/lang/ast.go
+++ b/operate/lang/ast.go
@@ -6,6 +6,9 @@
 package lang
 
 import (
+	"bytes"
+	"slices"
+
 	"github.com/alecthomas/participle/v2/lexer"
 
 	"github.com/siskinford/siskinford/operate/table"
@@ -160,3 +163,28 @@
 	Name  string `parser:"@( 'since' | 'request' | 'endpoint' | 'kind' | 'limit' )"`
 	Value string `parser:"@( Duration | Number | Word | String )"`
 }
+
+// String returns the literal as text.
+func (l *Literal) String() string { return l.value().String() }
+
+// JSON returns the setting's value as JSON. If asText is true, a word or number
+// is taken as text.
+func (s *Setting) JSON(asText bool) []byte {
+	if s.List == nil {
+		return s.Value.json(asText)
+	}
+	parts := make([][]byte, len(s.List.Items))
+	for i, item := range s.List.Items {
+		parts[i] = item.json(true)
+	}
+	return slices.Concat([]byte("["), bytes.Join(parts, []byte(",")), []byte("]"))
+}
+
+func (l *Literal) json(asText bool) []byte {
+	v := l.value()
+	if asText {
+		v = table.Text(v.String())
+	}
+	data, _ := v.MarshalJSON() // Texts, finite numbers and truth values always encode.
+	return data
+}
