--- a/cmd/siskinford/main.go
+++ b/cmd/siskinford/main.go
@@ -7,11 +7,24 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/siskinford/siskinford/operate/cli"
 )
 
-func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+func main() { os.Exit(run(os.Args, cli.Standard())) }
+
+func run(args []string, s cli.Streams) int {
+	top := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	c := subcommands.NewCommander(top, "siskinford")
+	c.Output, c.Error = s.Out, s.Err
+	c.ExplainCommand = cli.WriteHelp
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(cli.NewQuery(s), "fleet")
+	c.Register(cli.NewTimeline(s), "fleet")
+	c.Register(cli.NewExplain(s), "fleet")
+	if err := top.Parse(args[1:]); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(c.Execute(context.Background()))
 }
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -29,6 +29,12 @@
 	ExitUsage = 2
 	// ExitCutOff means that a shutdown cut off requests in flight.
 	ExitCutOff = 3
+	// ExitLostRace means that another operator's change came first. Nothing was changed.
+	ExitLostRace = 4
+	// ExitUnknown means that a change may or may not have been accepted.
+	ExitUnknown = 5
+	// ExitIncomplete means that some processes did not answer.
+	ExitIncomplete = 6
 )
 
 // Daemon is what a program runs until it is told to stop.
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -24,6 +24,9 @@
 	Directory Directory
 	Pool      *link.Pool
 	Recorder  timeline.Recorder
+	// Chosen receives each choice of an endpoint with the candidates that were
+	// compared, or why there is none. It must not block. It may be nil.
+	Chosen func(c *Call, choice route.Choice, err error)
 }
 
 // Dispatcher runs calls. It is safe for concurrent use.
@@ -45,6 +48,9 @@
 	var exclude []id.Endpoint
 	for try := 1; ; try++ {
 		choice, err := d.choose(c, exclude)
+		if d.deps.Chosen != nil {
+			d.deps.Chosen(c, choice, err)
+		}
 		if err != nil {
 			return Result{Outcome: outcome.NotRun, Problem: noEndpoint(err), Tries: try - 1}
 		}
@@ -72,7 +78,7 @@
 	}
 	request := route.Request{
 		Service: c.Service, Zone: d.deps.Zone, Work: c.Work, PromptBlocks: c.PromptBlocks,
-		Exclude: exclude, Now: time.Now(),
+		Exclude: exclude, Now: time.Now(), Explain: d.deps.Chosen != nil,
 	}
 	return d.deps.Picker.Pick(request)
 }
--- a/entry/hosts/hosts.go
+++ b/entry/hosts/hosts.go
@@ -41,8 +41,8 @@
 	SetHints(list []platform.Host)
 }
 
-// duty is the key of the duty to read the list for the zone.
-const duty = "hosts"
+// Duty is the key of the duty to read the list for the zone.
+const Duty = "hosts"
 
 // Deps are the parts that a Watcher works with.
 type Deps struct {
@@ -78,7 +78,7 @@
 // Run reads the list until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		hasDuty := w.deps.Members.Duty(duty)
+		hasDuty := w.deps.Members.Duty(Duty)
 		if hasDuty || len(w.deps.Members.Live()) <= 1 {
 			w.read(ctx, hasDuty)
 		}
--- /dev/null
+++ b/entry/operator/requests.go
@@ -0,0 +1,190 @@
+package operator
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/balance/route"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/operate/lang"
+	"github.com/siskinford/siskinford/operate/table"
+)
+
+const (
+	// DefaultRequests is the number of recent requests that an entry remembers.
+	DefaultRequests = 4096
+	// maxTries bounds the choices remembered of one request.
+	maxTries = 8
+)
+
+// try is one choice of an endpoint for a request.
+type try struct {
+	choice route.Choice
+	err    error
+	at     time.Time
+}
+
+// record is what is known of one request.
+type record struct {
+	request  id.Request
+	team     id.Team
+	service  id.Service
+	started  time.Time
+	endpoint id.Endpoint
+	tries    []try
+	count    int
+	state    string
+	detail   string
+}
+
+// Requests remembers the most recent requests of an entry and why each went
+// where it did. It is safe for concurrent use and does not block.
+type Requests struct {
+	now func() time.Time
+
+	// mu is a leaf lock.
+	mu    sync.Mutex
+	byID  map[id.Request]*record
+	order []id.Request // ring of the requests in byID
+	next  int
+}
+
+// NewRequests returns a store of up to size requests.
+func NewRequests(size int, now func() time.Time) *Requests {
+	return &Requests{now: now, byID: make(map[id.Request]*record, size), order: make([]id.Request, size)}
+}
+
+// get returns the record of a request, after it made room for a new one. The
+// caller holds r.mu.
+func (r *Requests) get(request id.Request) *record {
+	if known := r.byID[request]; known != nil {
+		return known
+	}
+	delete(r.byID, r.order[r.next])
+	r.order[r.next] = request
+	r.next = (r.next + 1) % len(r.order)
+	added := &record{request: request, started: r.now()}
+	r.byID[request] = added
+	return added
+}
+
+// Chosen notes the choice of an endpoint for one try. Err tells why there is none.
+func (r *Requests) Chosen(c *dispatch.Call, choice route.Choice, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.get(c.Request)
+	k.team, k.service = c.Team, c.Service
+	k.count++
+	if len(k.tries) < maxTries {
+		k.tries = append(k.tries, try{choice: choice, err: err, at: r.now()})
+	}
+}
+
+// Record returns a Recorder that passes events on to next and notes what they
+// tell of requests.
+func (r *Requests) Record(next timeline.Recorder) timeline.Recorder {
+	return recorder{requests: r, next: next}
+}
+
+type recorder struct {
+	requests *Requests
+	next     timeline.Recorder
+}
+
+// Record implements timeline.Recorder.
+func (r recorder) Record(e timeline.Event) {
+	r.next.Record(e)
+	if e.Request != "" {
+		r.requests.note(e)
+	}
+}
+
+func (r *Requests) note(e timeline.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.get(e.Request)
+	k.state, k.detail = strings.TrimPrefix(string(e.Kind), "request."), e.Detail
+	if e.Endpoint != "" {
+		k.endpoint = e.Endpoint
+	}
+}
+
+// rows returns the requests, the newest first.
+func (r *Requests) rows(host id.Host, now time.Time) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]table.Row, 0, len(r.byID))
+	for i := range r.order {
+		at := (r.next - 1 - i + 2*len(r.order)) % len(r.order)
+		if k := r.byID[r.order[at]]; k != nil {
+			out = append(out, k.row(host, now))
+		}
+	}
+	return out
+}
+
+func (k *record) row(host id.Host, now time.Time) table.Row {
+	return table.Row{
+		table.Text(k.request), table.Text(host), table.Text(k.team), table.Text(k.service), table.Text(k.endpoint), table.Number(k.count),
+		table.Text(k.state), table.Text(k.detail), table.Text(k.started.UTC().Format(time.RFC3339Nano)), millis(now.Sub(k.started)),
+	}
+}
+
+// explain returns the row of a request and the endpoints that were compared for
+// each of its tries, or nil if it is not remembered.
+func (r *Requests) explain(request id.Request, host id.Host, now time.Time) (summary, candidates *table.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.byID[request]
+	if k == nil {
+		return nil, nil
+	}
+	summary = lang.NewTable(lang.Requests)
+	summary.Rows = []table.Row{k.row(host, now)}
+	return summary, k.candidates()
+}
+
+func (k *record) candidates() *table.Table {
+	t := &table.Table{Columns: []string{
+		"try", "endpoint", "chosen", "zone", "expected_ms", "predicted_ms", "report_age_ms", "cached_blocks", "open_requests", "why",
+	}}
+	for i, x := range k.tries {
+		t.Rows = append(t.Rows, x.rows(i+1)...)
+	}
+	return t
+}
+
+func (x try) rows(number int) []table.Row {
+	n := table.Number(number)
+	if x.err != nil {
+		return []table.Row{{n, {}, table.Bool(false), {}, {}, {}, {}, {}, {}, table.Text(x.err.Error())}}
+	}
+	if len(x.choice.Candidates) == 0 {
+		return []table.Row{{
+			n, table.Text(x.choice.Endpoint), table.Bool(true),
+			{},
+			{},
+			{},
+			{},
+			{},
+			{},
+			table.Text("the action is bound to this endpoint by its ticket or key"),
+		}}
+	}
+	var out []table.Row
+	for _, c := range x.choice.Candidates {
+		chosen := c.Endpoint == x.choice.Endpoint
+		why := "another candidate was better"
+		if chosen {
+			why = "best of those compared"
+		}
+		out = append(out, table.Row{
+			n, table.Text(c.Endpoint), table.Bool(chosen), table.Text(c.Zone), millis(c.Expected), millis(c.Predicted),
+			millis(c.ReportAge), table.Number(c.CachedBlocks), table.Number(c.OpenRequests), table.Text(why),
+		})
+	}
+	return out
+}
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -11,6 +11,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/wire/link"
 )
 
@@ -41,6 +42,7 @@
 	KeyRetention time.Duration
 	// Events is the number of events that the time line keeps. Default: 20,000.
 	Events    int
+	Operator  operator.APIConfig
 	Caller    caller.Config
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
@@ -56,6 +58,7 @@
 		Policy:         route.PredictedTime,
 		KeyRetention:   30 * time.Minute,
 		Events:         20_000,
+		Operator:       operator.DefaultAPIConfig(),
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
@@ -84,6 +87,7 @@
 	if c.ReadyDelay < 0 {
 		l.Addf("ready-delay", "duration %v is negative", c.ReadyDelay)
 	}
+	l.Merge("", c.Operator.Validate())
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
 	l.Merge("link-", c.Link.Validate())
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -26,6 +26,8 @@
 	members  *member.Runner
 	spreader *spread.Spreader
 	hosts    *hosts.Watcher
+	// operators carries operators' questions to other entries.
+	operators transport.Caller
 }
 
 // startNode listens for other entries and joins the fleet.
@@ -33,6 +35,7 @@
 	n := &s.node
 	n.pool = link.NewPool(s.config.Link, func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
 	mux := transport.NewMux(peer.NewCaller(n.pool), s.metrics)
+	n.operators = mux.Caller(transport.Operators)
 	var err error
 	handler := peer.NewServer(mux.Handle, s.selectEvents)
 	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), s.config.Link, handler)
@@ -56,6 +59,7 @@
 	mux.Register(transport.Membership, n.members.Handle)
 	mux.Register(transport.Configuration, n.spreader.Handle)
 	mux.Register(transport.Duties, n.hosts.Handle)
+	mux.Register(transport.Operators, s.operator.Handle)
 	for _, run := range []func(context.Context){n.members.Run, n.spreader.Run, n.hosts.Run} {
 		s.wg.Go(func() { run(s.ctx) })
 	}
--- a/entry/server/operator.go
+++ b/entry/server/operator.go
@@ -7,6 +7,7 @@
 
 	"github.com/siskinford/siskinford/core/ops"
 	"github.com/siskinford/siskinford/entry/dispatch"
+	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/entry/problem"
 	"github.com/siskinford/siskinford/fleet/config"
 )
@@ -14,6 +15,7 @@
 func (s *Server) operatorHandler() http.Handler {
 	r := chi.NewRouter()
 	ops.Routes(r, s.metrics, s.unready)
+	operator.NewAPI(s.config.Operator, s.operator).Routes(r)
 	return r
 }
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -50,6 +51,8 @@
 	table     *route.Table
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
+	requests  *operator.Requests
+	operator  *operator.Service
 	callers   *http.Server
 	operators *http.Server
 
@@ -70,7 +73,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
-	s.events = timeline.Logged{Ring: d.Ring, Log: d.Log}
+	s.requests = operator.NewRequests(operator.DefaultRequests, time.Now)
+	s.events = s.requests.Record(timeline.Logged{Ring: d.Ring, Log: d.Log})
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	prefixes := prefix.NewIndex(prefix.Config{})
 	s.table = route.NewTable(route.Config{Prefixes: prefixes})
@@ -83,8 +87,10 @@
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
 	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
+	s.operator = s.newOperator()
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+		s.operator.Observe(n)
 	})
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
@@ -99,6 +105,7 @@
 	dispatcher := dispatch.New(s.config.Dispatch, dispatch.Deps{
 		Zone: s.config.Zone, Picker: picker, Table: s.table, Budget: retry.NewBudget(retry.Config{}),
 		Directory: s.endpoints, Pool: s.pool, Recorder: s.events,
+		Chosen: s.requests.Chosen,
 	})
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -14,6 +14,8 @@
 	settings.Text(s, &c.Policy, "policy", "Routing policy: predicted-time, round-robin or least-connections")
 	s.Duration(&c.ReadyDelay, "ready-delay", "Time between failing /readyz and refusing connections at shutdown")
 	s.Duration(&c.KeyRetention, "key-retention", "Age at which an idempotency key made by a caller expires")
+	s.String(&c.Operator.KeyHashes, "operator-key-hash", "Operators as NAME=SHA256 of the operator's key, separated by commas; empty refuses all")
+	s.Int(&c.Operator.Rate, "operator-rate", "questions per second", "Questions that operators may ask")
 	s.Int(&c.Events, "events", "events", "Events that the time line keeps")
 	s.Int(&c.Caller.MaxTokens, "max-tokens", "tokens", "Largest answer that a caller may ask for")
 	s.Int(&c.Caller.MaxHeaderBytes, "max-header-bytes", "bytes", "Largest header of a caller's request")
--- a/fleet/transport/mux.go
+++ b/fleet/transport/mux.go
@@ -18,6 +18,8 @@
 	Configuration
 	// Duties payloads belong to packages that coordinate duties of entries.
 	Duties
+	// Operators payloads carry operators' questions between entries.
+	Operators
 
 	purposes
 )
@@ -31,6 +33,8 @@
 		return "configuration"
 	case Duties:
 		return "duties"
+	case Operators:
+		return "operators"
 	}
 	return fmt.Sprintf("purpose-%d", byte(p))
 }
--- /dev/null
+++ b/operate/cli/query.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/siskinford/siskinford/core/process"
+	"github.com/siskinford/siskinford/operate/answer"
+	"github.com/siskinford/siskinford/operate/client"
+	"github.com/siskinford/siskinford/operate/lang"
+)
+
+// Query is the subcommand that runs queries and commands.
+type Query struct {
+	asker
+	file   string
+	dryRun bool
+	seen   uint64
+}
+
+// NewQuery returns the subcommand.
+func NewQuery(s Streams) *Query { return &Query{asker: asker{streams: s}} }
+
+// Name implements subcommands.Command.
+func (*Query) Name() string { return "query" }
+
+// Synopsis implements subcommands.Command.
+func (*Query) Synopsis() string { return "run queries, or commands that change a configuration" }
+
+// Usage implements subcommands.Command.
+func (*Query) Usage() string {
+	return `query [flags] [STATEMENT]
+  Reads the statements from --file or the standard input if none is given.
+  endpoints where zone = lima-a and queue > 4 order by queue desc limit 10
+  drain endpoint NAME; set endpoint NAME weight 0.5
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Query) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.file, "file", "", usage("file", "text", "", "File with the statements; - means the standard input."))
+	f.BoolVar(&c.dryRun, "dry-run", false, usage("dry-run", "true|false", "false", "Show what commands would change."))
+	f.Uint64Var(&c.seen, "seen", 0, usage("seen", "version", "0", "Version of the configuration that you saw; 0 means the current one."))
+}
+
+// Execute implements subcommands.Command.
+func (c *Query) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.ready(f) {
+		return process.ExitUsage
+	}
+	script, err := c.script(f.Args())
+	if err != nil {
+		fmt.Fprintln(c.streams.Err, err)
+		return process.ExitUsage
+	}
+	return c.run(ctx, script)
+}
+
+func (c *Query) script(args []string) (string, error) {
+	if len(args) > 0 {
+		return strings.Join(args, " "), nil
+	}
+	in := c.streams.In
+	if c.file != "" && c.file != "-" {
+		file, err := os.Open(c.file)
+		if err != nil {
+			return "", err
+		}
+		defer file.Close()
+		in = file
+	}
+	data, err := io.ReadAll(io.LimitReader(in, lang.MaxScriptBytes+1))
+	return string(data), err
+}
+
+// run asks for a dry run first. Commands are then applied to the version that
+// the dry run showed.
+func (c *Query) run(ctx context.Context, script string) subcommands.ExitStatus {
+	q := answer.Question{Script: script, DryRun: true, Seen: c.seen}
+	reply, err := client.New(c.client).Ask(ctx, q)
+	if err != nil {
+		return c.failed(err, false)
+	}
+	if c.dryRun || reply.Plan == nil || reply.Plan.State != answer.DryRun {
+		if err := c.write(reply); err != nil {
+			return c.failed(err, false)
+		}
+		return c.status(reply)
+	}
+	c.show(reply.Plan)
+	return c.apply(ctx, answer.Question{Script: script, Seen: reply.Plan.Seen})
+}
+
+// show prints what is about to change.
+func (c *Query) show(p *answer.Plan) {
+	if c.format != string(answer.Text) {
+		return
+	}
+	for _, x := range p.Changes {
+		fmt.Fprintln(c.streams.Out, x)
+	}
+}
+
+func (c *Query) apply(ctx context.Context, q answer.Question) subcommands.ExitStatus {
+	reply, err := client.New(c.client).Ask(ctx, q)
+	if err != nil {
+		return c.failed(err, true)
+	}
+	if c.format == string(answer.Text) && reply.Plan != nil {
+		reply.Plan.Changes = nil // They were shown.
+	}
+	if err := c.write(reply); err != nil {
+		return c.failed(err, false)
+	}
+	return c.status(reply)
+}
--- /dev/null
+++ b/operate/client/dial.go
@@ -0,0 +1,13 @@
+package client
+
+import (
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dialFailed reports whether no connection was made, so that nothing was sent.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
