--- a/entry/operator/gather.go
+++ b/entry/operator/gather.go
@@ -86,9 +86,10 @@
 func (s *Service) fleet(ctx context.Context, a ask) *told {
 	g := newGathering()
 	g.run(func() { g.add(s.zone(ctx, a)) })
-	a.Zone = true
+	forZone := a
+	forZone.Zone = true
 	for _, zone := range s.otherZones() {
-		g.run(func() { s.askZone(ctx, g, zone, a) })
+		g.run(func() { s.askZone(ctx, g, zone, forZone) })
 	}
 	g.wg.Wait()
 	return finish(a, &g.told)
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -268,7 +268,7 @@
 	}
 	e.args = append([]string{
 		"--host=" + string(e.Host), "--zone=" + string(e.Zone), "--platform-url=http://" + e.Platform.Addr(),
-		"--peer-listen=127.0.0.1:0",
+		"--peer-listen=127.0.0.1:0", operatorArg(),
 	}, c.options.EntryArgs...)
 	if err := c.startEntry(ctx, e, "127.0.0.1:0", "127.0.0.1:0"); err != nil {
 		return err
--- /dev/null
+++ b/lab/procs/operator.go
@@ -0,0 +1,60 @@
+package procs
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/settings"
+	"github.com/siskinford/siskinford/fleet/config"
+)
+
+// Operator and OperatorKey are the name and key of the cluster's operator.
+const (
+	Operator    = "ana"
+	OperatorKey = "cluster-operator-key"
+)
+
+// operatorArg is the setting of entries that lets the cluster's operator in.
+func operatorArg() string {
+	return "--operator-key-hash=" + Operator + "=" + config.HashKey(OperatorKey)
+}
+
+// Result is the output of a program that has ended.
+type Result struct {
+	Stdout, Stderr string
+	Code           int
+}
+
+// OperatorEnv is the environment in which the operators' program reaches an entry.
+func (c *Cluster) OperatorEnv(e *Entry) []string {
+	return []string{
+		settings.EnvName("entry") + "=" + e.Operators,
+		settings.EnvName("operator-key") + "=" + OperatorKey,
+	}
+}
+
+// Operate runs the operators' program against an entry and waits for its end.
+func (c *Cluster) Operate(ctx context.Context, e *Entry, stdin string, args ...string) (Result, error) {
+	cmd := exec.CommandContext(ctx, c.options.Binaries.Operator, args...)
+	cmd.Env = append(os.Environ(), c.OperatorEnv(e)...)
+	return RunCommand(cmd, stdin)
+}
+
+// RunCommand runs a command to its end.
+func RunCommand(cmd *exec.Cmd, stdin string) (Result, error) {
+	var stdout, stderr bytes.Buffer
+	cmd.Stdin = strings.NewReader(stdin)
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	err := cmd.Run()
+	r := Result{Stdout: stdout.String(), Stderr: stderr.String(), Code: cmd.ProcessState.ExitCode()}
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		return r, errors.Wrapf(err, "run %s", cmd.Path)
+	}
+	return r, nil
+}
