--- a/entry/operator/gather.go
+++ b/entry/operator/gather.go
@@ -248,7 +248,7 @@
 	return t
 }
 
-// merge keeps one row for each key: the one that knows most.
+// merge keeps one row for each key, the one that knows most, in order of the keys.
 func merge(k lang.Kind, t *table.Table) {
 	_, keys := lang.Columns(k)
 	kept := make(map[string]int, len(t.Rows))
@@ -265,6 +265,7 @@
 			out[at] = r
 		}
 	}
+	slices.SortFunc(out, func(a, b table.Row) int { return slices.CompareFunc(a[:keys], b[:keys], table.Compare) })
 	t.Rows = out
 }
 
--- a/entry/operator/rows.go
+++ b/entry/operator/rows.go
@@ -120,9 +120,10 @@
 	return table.Number(*e.Weight)
 }
 
-// millis returns a duration in milliseconds, rounded to microseconds.
+// millis returns a duration in milliseconds, rounded to microseconds. A negative
+// one, which is the age of what was noted after now was read, counts as zero.
 func millis(d time.Duration) table.Value {
-	return table.Number(float64(d.Microseconds()) / 1000)
+	return table.Number(float64(max(d, 0).Microseconds()) / 1000)
 }
 
 func (s *Service) replicas(now time.Time) []table.Row {
