--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -97,6 +97,7 @@
 	if (d.Engine == nil) == (d.Plain == nil) {
 		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
 	}
+	c.Link.Clock = d.Ring.Clock()
 	now := monotonicClock()
 	inc := id.NewIncarnation()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/core/timeline/clock.go
+++ b/core/timeline/clock.go
@@ -50,8 +50,15 @@
 	return c.last
 }
 
+// MaxDrift is how far a received stamp may be ahead of the wall time. Stamps
+// beyond it are ignored, so that one wrong clock does not move all others.
+const MaxDrift = time.Minute
+
 // Observe advances the clock past a stamp received from another process.
 func (c *Clock) Observe(s Stamp) {
+	if s.Wall > c.wall().Add(MaxDrift).UnixNano() {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.last.Before(s) {
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -164,7 +164,7 @@
 // fail answers with a problem.
 func (a *API) fail(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
 	p.Request = requestID(r)
-	a.deps.Recorder.Record(timeline.Event{Kind: "request.failed", Request: p.Request, Detail: p.Error()})
+	a.deps.Recorder.Record(timeline.Event{Kind: "request.failed", Request: p.Request, Detail: redact(r, p.Error())})
 	a.deps.Metrics.failed(p)
 	p.Write(w)
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -71,6 +71,7 @@
 	if err := c.Validate().Err(); err != nil {
 		return nil, err
 	}
+	c.Link.Clock = d.Ring.Clock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
 	s.requests = operator.NewRequests(operator.DefaultRequests, time.Now)
--- a/lab/procs/operator.go
+++ b/lab/procs/operator.go
@@ -58,3 +58,28 @@
 	}
 	return r, nil
 }
+
+// Secrets returns texts that no process may print: the keys of the team and of
+// the operator, and lines of all private TLS keys.
+func (c *Cluster) Secrets() []string {
+	out := []string{TeamKey, OperatorKey}
+	var env []string
+	for _, e := range c.Entries {
+		env = append(env, e.env...)
+	}
+	for _, e := range c.Endpoints {
+		env = append(env, e.env...)
+	}
+	for _, variable := range env {
+		pem, ok := strings.CutPrefix(variable, settings.EnvName("tls-key")+"=")
+		if !ok {
+			continue
+		}
+		for line := range strings.Lines(pem) {
+			if line = strings.TrimSpace(line); !strings.HasPrefix(line, "-----") && line != "" {
+				out = append(out, line)
+			}
+		}
+	}
+	return out
+}
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -9,6 +9,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/timeline"
 )
 
 // Config sets the bounds of connections.
@@ -29,6 +30,25 @@
 	// WriterYields is the number of times that a writer lets other goroutines
 	// add messages before it sends a batch. Default: 4.
 	WriterYields int
+	// Clock stamps messages and observes the stamps of received ones, so that
+	// events of several processes are in causal order. Nil does neither.
+	Clock *timeline.Clock
+}
+
+// stamp returns the stamp for a message, or nil.
+func (c Config) stamp() *timeline.Stamp {
+	if c.Clock == nil {
+		return nil
+	}
+	s := c.Clock.Now()
+	return &s
+}
+
+// observe takes in the stamp of a received message, which may be nil.
+func (c Config) observe(s *timeline.Stamp) {
+	if c.Clock != nil && s != nil {
+		c.Clock.Observe(*s)
+	}
 }
 
 // DefaultConfig returns the defaults for connections within a region.
--- a/wire/link/conn.go
+++ b/wire/link/conn.go
@@ -103,6 +103,7 @@
 // means that no byte of the order left; the waiter is then not called.
 func (c *Conn) Send(o *msg.Order, w Waiter) (*Call, error) {
 	call := &Call{conn: c, waiter: w}
+	o.Stamp = c.config.stamp()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != nil {
@@ -177,6 +178,7 @@
 			return err
 		}
 		c.lastReceived.Store(int64(time.Since(c.started)))
+		c.config.observe(reply.Stamp)
 		if w := c.waiter(reply.ID); w != nil {
 			w.Reply(reply)
 		}
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -35,15 +35,19 @@
 	Role keys.Role
 	Host id.Host
 
-	quic *quic.Conn
-	out  *outbox
-	done chan struct{}
-	once sync.Once
+	config Config
+	quic   *quic.Conn
+	out    *outbox
+	done   chan struct{}
+	once   sync.Once
 }
 
 // Reply queues a reply. It does not wait for the peer. Replies on an ended
 // session are dropped, and a session whose peer takes nothing is closed.
 func (s *Session) Reply(r *msg.Reply) {
+	if r.Causal() {
+		r.Stamp = s.config.stamp()
+	}
 	_, err := s.out.put(r)
 	var full *QueueFullError
 	if errors.As(err, &full) {
@@ -149,7 +153,7 @@
 		_ = q.CloseWithError(1, "")
 		return
 	}
-	session := &Session{Role: role, Host: host, quic: q, out: newOutbox(s.config), done: make(chan struct{})}
+	session := &Session{Role: role, Host: host, config: s.config, quic: q, out: newOutbox(s.config), done: make(chan struct{})}
 	s.track(session, true)
 	defer s.track(session, false)
 	defer s.handler.Closed(session)
@@ -193,6 +197,7 @@
 			session.Reply(&msg.Reply{ID: o.ID, Probe: &msg.Probe{Incarnation: s.handler.Incarnation()}})
 			continue
 		}
+		s.config.observe(o.Stamp)
 		s.handler.Order(session, o)
 	}
 }
--- /dev/null
+++ b/wire/link/stamp_test.go
@@ -0,0 +1,49 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/timeline"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+// skewed returns a configuration whose clock stands at the given second.
+func skewed(second int64) Config {
+	c := DefaultConfig()
+	c.Clock = timeline.NewClock(func() time.Time { return time.Unix(second, 0) })
+	return c
+}
+
+func TestStampsTravelWithOrdersAndReplies(t *testing.T) {
+	authority, err := keys.NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	agent, dialer := ring(t, authority, keys.RoleAgent), ring(t, authority, keys.RoleEntry)
+	for _, wall := range []struct{ server, client int64 }{{130, 100}, {100, 130}} {
+		server, client := skewed(wall.server), skewed(wall.client)
+		s, err := Listen("127.0.0.1:0", agent.Server(keys.RoleEntry), server, echo{})
+		assert.NilError(t, err)
+		pool := NewPool(client, func() *tls.Config { return dialer.Client(keys.RoleAgent) })
+		conn, err := pool.Conn(context.Background(), s.Address())
+		assert.NilError(t, err)
+		before := client.Clock.Now()
+		reply, err := conn.Call(context.Background(), &msg.Order{Ticket: &msg.TicketOrder{Team: "puno"}})
+		assert.NilError(t, err)
+		assert.Assert(t, before.Before(*reply.Stamp))
+		assert.Assert(t, reply.Stamp.Before(client.Clock.Now()))
+		pool.Close()
+		s.Close()
+	}
+}
+
+func TestFramesInTheMiddleCarryNoStamp(t *testing.T) {
+	assert.Assert(t, !(&msg.Reply{Frame: &msg.Frame{Data: []byte("x")}}).Causal())
+	assert.Assert(t, !(&msg.Reply{Report: &msg.Report{}}).Causal())
+	assert.Assert(t, (&msg.Reply{Frame: &msg.Frame{End: &msg.End{}}}).Causal())
+	assert.Assert(t, (&msg.Reply{Peer: &msg.Peer{}}).Causal())
+}
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -26,6 +26,8 @@
 	Peer *Peer `cbor:"10,keyasint,omitempty"`
 	// Events asks for events of the time line.
 	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock. It is not set in probes.
+	Stamp *timeline.Stamp `cbor:"12,keyasint,omitempty"`
 }
 
 // Reply is a message from the listening side of a connection. Exactly one of the
@@ -40,6 +42,18 @@
 	Probe   *Probe   `cbor:"6,keyasint,omitempty"`
 	Peer    *Peer    `cbor:"7,keyasint,omitempty"`
 	Events  *Events  `cbor:"8,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock. It is not set in probes,
+	// reports and frames in the middle of an answer.
+	Stamp *timeline.Stamp `cbor:"9,keyasint,omitempty"`
+}
+
+// Causal reports whether the reply carries a stamp: frames in the middle of an
+// answer, reports and probes are left out, since there are many of them.
+func (r *Reply) Causal() bool {
+	if r.Frame != nil {
+		return r.Frame.End != nil || r.Frame.Refused != nil || r.Frame.Head != nil
+	}
+	return r.Report == nil && r.Probe == nil
 }
 
 // Peer carries an encoded message of package fleet.
