--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -86,7 +86,7 @@
 	if c.EnginePoll <= 0 {
 		l.Addf("engine-poll", "duration %v is not positive", c.EnginePoll)
 	}
-	l.Merge("ledger-", c.Ledger.Validate())
-	l.Merge("link-", c.Link.Validate())
+	l.Merge("", c.Ledger.Validate())
+	l.Merge("", c.Link.Validate())
 	return l
 }
--- /dev/null
+++ b/cmd/internal/programs/agent.go
@@ -0,0 +1,61 @@
+package programs
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/agent/gate"
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/settings"
+	"github.com/siskinford/siskinford/wire/keys"
+)
+
+// AgentName is the name of the agent's program.
+const AgentName = "siskinford-agent"
+
+// defaultAgentEvents is the number of events that an agent keeps.
+const defaultAgentEvents = 20_000
+
+// Agent holds all settings of siskinford-agent.
+type Agent struct {
+	Gate gate.Config
+	Keys keys.Config
+	// EngineURL or PlainURL is the base URL of the back end on this host.
+	EngineURL, PlainURL string
+	// Shutdown is the time for requests in flight at shutdown. Default: 30 s.
+	Shutdown time.Duration
+	// Events is the number of events that the time line keeps. Default: 20,000.
+	Events int
+	// Debug logs debug messages. Default: false.
+	Debug bool
+}
+
+// NewAgent returns the defaults.
+func NewAgent() *Agent {
+	return &Agent{Gate: gate.DefaultConfig(), Shutdown: defaultShutdown, Events: defaultAgentEvents}
+}
+
+// Set implements Program.
+func (a *Agent) Set() *settings.Set {
+	set := settings.New(AgentName)
+	a.Gate.Register(set)
+	a.Keys.Register(set)
+	set.String(&a.EngineURL, "engine-url", "Base URL of the model engine on this host")
+	set.String(&a.PlainURL, "plain-url", "Base URL of the plain service on this host")
+	set.Duration(&a.Shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
+	set.Int(&a.Events, "events", "events", "Events that the time line keeps")
+	set.Bool(&a.Debug, "debug", "Log debug messages")
+	return set
+}
+
+// Validate implements Program.
+func (a *Agent) Validate() finding.List {
+	l := a.Gate.Validate()
+	l.Merge("", a.Keys.Validate())
+	if (a.EngineURL == "") == (a.PlainURL == "") {
+		l.Addf("engine-url", "exactly one of --engine-url and --plain-url must be set")
+	}
+	if a.Events <= 0 {
+		l.Addf("events", "%d is not positive", a.Events)
+	}
+	return l
+}
--- /dev/null
+++ b/cmd/internal/programs/entry.go
@@ -0,0 +1,70 @@
+// Package programs holds the settings of the daemons, which their main packages
+// and the settings check share.
+package programs
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/settings"
+	"github.com/siskinford/siskinford/entry/server"
+	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/wire/keys"
+)
+
+// defaultShutdown is the time for requests in flight at shutdown.
+const defaultShutdown = 30 * time.Second
+
+// Program is the settings of a daemon.
+type Program interface {
+	// Set returns the settings to be parsed.
+	Set() *settings.Set
+	// Validate reports all values that are missing or out of range.
+	Validate() finding.List
+}
+
+// EntryName is the name of the entry's program.
+const EntryName = "siskinford-entry"
+
+// Entry holds all settings of siskinford-entry.
+type Entry struct {
+	Server server.Config
+	Keys   keys.Config
+	// PlatformURL is the base URL of the platform's object API. Required.
+	PlatformURL string
+	// Shutdown is the time for requests in flight at shutdown. Default: 30 s.
+	Shutdown time.Duration
+	// Debug logs debug messages. Default: false.
+	Debug bool
+}
+
+// NewEntry returns the defaults.
+func NewEntry() *Entry { return &Entry{Server: server.DefaultConfig(), Shutdown: defaultShutdown} }
+
+// Set implements Program.
+func (e *Entry) Set() *settings.Set {
+	set := settings.New(EntryName)
+	e.Server.Register(set)
+	e.Keys.Register(set)
+	set.String(&e.PlatformURL, "platform-url", "Base URL of the platform's object API", settings.Required())
+	set.Duration(&e.Shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
+	set.Bool(&e.Debug, "debug", "Log debug messages")
+	return set
+}
+
+// Platform returns the configuration of the platform's client.
+func (e *Entry) Platform() platform.ClientConfig {
+	return platform.ClientConfig{BaseURL: e.PlatformURL, Caller: string(e.Server.Host)}
+}
+
+// Validate implements Program.
+func (e *Entry) Validate() finding.List {
+	l := e.Server.Validate()
+	l.Merge("", e.Keys.Validate())
+	for _, f := range e.Platform().Validate() {
+		if f.Place == "base URL" {
+			l.Addf("platform-url", "%s", f.Message)
+		}
+	}
+	return l
+}
--- a/cmd/siskinford/main.go
+++ b/cmd/siskinford/main.go
@@ -23,6 +23,7 @@
 	c.Register(cli.NewQuery(s), "fleet")
 	c.Register(cli.NewTimeline(s), "fleet")
 	c.Register(cli.NewExplain(s), "fleet")
+	c.Register(&check{streams: s}, "offline")
 	if err := top.Parse(args[1:]); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
--- a/core/process/process.go
+++ b/core/process/process.go
@@ -51,12 +51,10 @@
 // ParseSettings parses and validates settings and prints help or all findings.
 // Ok is false if the program must exit with the returned code.
 func ParseSettings(s *settings.Set, args []string, validate func() finding.List, stdout, stderr io.Writer) (code int, ok bool) {
-	findings, err := s.Parse(args)
-	if errors.Is(err, flag.ErrHelp) {
-		s.WriteHelp(stdout)
+	findings, err := CheckSettings(s, args, validate, stdout)
+	if err != nil {
 		return ExitOK, false
 	}
-	findings = append(findings, unreported(findings, validate())...)
 	if len(findings) == 0 {
 		return ExitOK, true
 	}
@@ -64,6 +62,17 @@
 	return ExitUsage, false
 }
 
+// CheckSettings parses and validates settings and returns all findings. If help
+// was asked for, it is printed and the error is flag.ErrHelp.
+func CheckSettings(s *settings.Set, args []string, validate func() finding.List, stdout io.Writer) (finding.List, error) {
+	findings, err := s.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		s.WriteHelp(stdout)
+		return nil, err
+	}
+	return append(findings, unreported(findings, validate())...), nil
+}
+
 // unreported returns the later findings whose setting has none among the earlier.
 func unreported(earlier, later finding.List) finding.List {
 	known := make(map[string]bool, len(earlier))
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -166,8 +167,8 @@
 	known := s.knownArgs(args, &findings)
 	err := ff.Parse(s.flags, known, ff.WithEnvVarPrefix(EnvPrefix))
 	if err != nil {
-		if err == flag.ErrHelp {
-			return nil, err
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, flag.ErrHelp
 		}
 		findings.Addf("arguments", "%v", err)
 	}
--- a/entry/caller/config.go
+++ b/entry/caller/config.go
@@ -45,11 +45,11 @@
 	if c.MaxHeaderBytes <= 0 {
 		l.Addf("max-header-bytes", "%d is not positive", c.MaxHeaderBytes)
 	}
-	if c.MaxTokens <= 0 {
-		l.Addf("max-tokens", "%d is not positive", c.MaxTokens)
+	if c.DefaultTokens <= 0 {
+		l.Addf("default-tokens", "%d is not positive", c.DefaultTokens)
 	}
-	if c.DefaultTokens <= 0 || c.DefaultTokens > c.MaxTokens {
-		l.Addf("default-tokens", "%d is not between 1 and %d", c.DefaultTokens, c.MaxTokens)
+	if c.MaxTokens < max(c.DefaultTokens, 1) {
+		l.Addf("max-tokens", "%d is below the %d tokens of an answer without a limit of its own", c.MaxTokens, c.DefaultTokens)
 	}
 	if c.ReadTimeout <= 0 {
 		l.Addf("read-timeout", "duration %v is not positive", c.ReadTimeout)
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -90,6 +90,6 @@
 	l.Merge("", c.Operator.Validate())
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
-	l.Merge("link-", c.Link.Validate())
+	l.Merge("", c.Link.Validate())
 	return l
 }
--- a/wire/keys/keys.go
+++ b/wire/keys/keys.go
@@ -48,8 +48,24 @@
 // Validate reports what is missing or malformed.
 func (c Config) Validate() finding.List {
 	var l finding.List
-	if _, err := load(c); err != nil {
-		l.Addf("tls", "%v", err)
+	certificate, certificateErr := read("certificate", c.Certificate)
+	key, keyErr := read("key", c.Key)
+	authority, authorityErr := read("authority", c.Authority)
+	for _, f := range []struct {
+		place string
+		err   error
+	}{{"tls-certificate", certificateErr}, {"tls-key", keyErr}, {"tls-authority", authorityErr}} {
+		if f.err != nil {
+			l.Addf(f.place, "%v", f.err)
+		}
+	}
+	if certificateErr == nil && keyErr == nil {
+		if _, err := tls.X509KeyPair(certificate, key); err != nil {
+			l.Addf("tls-key", "%v", err)
+		}
+	}
+	if authorityErr == nil && !x509.NewCertPool().AppendCertsFromPEM(authority) {
+		l.Addf("tls-authority", "contains no certificate")
 	}
 	return l
 }
