fleet/config: what is accepted can be encoded and accepted again

Cause: FuzzDecode found that the value {} is accepted as an empty set, which encodes to null, which is refused. A team without keys had the same fault, so that create team NAME could never be accepted. Change: absent lists become empty ones; absent key hashes are left out.

--- a/fleet/config/config.go
+++ b/fleet/config/config.go
@@ -68,7 +68,7 @@
 type Team struct {
 	Name id.Team `json:"name"`
 	// KeyHashes are hex-encoded SHA-256 hashes of the team's API keys.
-	KeyHashes []string `json:"key_hashes"`
+	KeyHashes []string `json:"key_hashes,omitempty"`
 	// Weight is the team's share of capacity relative to other teams. Default: 1.
 	Weight float64 `json:"weight,omitempty"`
 	// TokensPerSecond limits the team over all entry hosts. Zero means no limit.
--- a/fleet/config/validate.go
+++ b/fleet/config/validate.go
@@ -47,12 +47,33 @@
 	if len(l) > 0 {
 		return nil, l.Err()
 	}
+	makeLists(v)
 	if l = Validate(v); len(l) > 0 {
 		return nil, l.Err()
 	}
 	return v, nil
 }
 
+// makeLists turns a list that is absent into an empty one, which can be encoded
+// and decoded again.
+func makeLists(v any) {
+	switch v := v.(type) {
+	case *ServiceSet:
+		v.Services = list(v.Services)
+	case *TeamSet:
+		v.Teams = list(v.Teams)
+	case *EndpointSet:
+		v.Endpoints = list(v.Endpoints)
+	}
+}
+
+func list[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+	return items
+}
+
 // maxValueBytes leaves room for the envelope within a platform value, in which
 // the value stands as JSON.
 const maxValueBytes = platform.MaxValueBytes - 4096
--- a/operate/change/change_test.go
+++ b/operate/change/change_test.go
@@ -30,6 +30,10 @@
 	}
 	p, findings, err := Make(kind, []byte(value), statements)
 	assert.NilError(t, err)
+	if len(findings) == 0 {
+		_, err = config.Decode(kind, p.Value)
+		assert.NilError(t, err, script)
+	}
 	return p, findings
 }
 
@@ -42,7 +46,8 @@
 		"delete endpoint a":                              `delete endpoint "a"`,
 		`create endpoint d service s host h zone z address "10.0.0.9:1"`:                 `create endpoint "d" service="s" host="h" zone="z" address="10.0.0.9:1"`,
 		"create team puno services [s, t] key_hashes [" + strings.Repeat("ab", 32) + "]": `create team "puno" key_hashes=["abababab..."] services=["s","t"]`,
-		"drain endpoint a\nundrain endpoint a":                                           "",
+		"create team puno":                     `create team "puno"`,
+		"drain endpoint a\nundrain endpoint a": "",
 	} {
 		p, findings := plan(t, script)
 		assert.NilError(t, findings.Err(), script)
