--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
@@ -60,13 +61,13 @@
 	return w.endpoint, w.version
 }
 
-// run connects again whenever the connection is lost.
+// run connects again whenever the connection is lost: at once if a report had
+// arrived on it, otherwise after a pause.
 func (w *watcher) run() {
 	for w.ctx.Err() == nil {
 		endpoint, _ := w.current()
 		conn, err := w.manager.pool.Conn(w.ctx, endpoint.Address)
-		if err == nil {
-			w.subscribe(conn)
+		if err == nil && w.subscribe(conn) {
 			continue
 		}
 		w.settle()
@@ -87,28 +88,29 @@
 	}
 }
 
-// subscribe receives reports until the connection or the watcher ends.
-func (w *watcher) subscribe(conn *link.Conn) {
+// subscribe receives reports until the connection or the watcher ends. It
+// returns whether one arrived.
+func (w *watcher) subscribe(conn *link.Conn) bool {
 	endpoint, _ := w.current()
 	interval := w.manager.config.ReportInterval
 	if endpoint.Zone != w.manager.config.Zone {
 		interval = w.manager.config.RemoteReportInterval
 	}
 	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
-	call, err := conn.Send(order, &reportReceiver{watcher: w, endpoint: endpoint.Name})
+	receiver := &reportReceiver{watcher: w, endpoint: endpoint.Name}
+	call, err := conn.Send(order, receiver)
 	if err != nil {
-		w.pause()
-		return
+		return false
 	}
 	defer call.Release()
 	w.sendDrain(conn)
 	for {
 		select {
 		case <-w.ctx.Done():
-			return
+			return receiver.heard.Load()
 		case <-conn.Done():
 			w.manager.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: endpoint.Name})
-			return
+			return receiver.heard.Load()
 		case <-w.changed:
 			w.sendDrain(conn)
 		}
@@ -129,10 +131,12 @@
 type reportReceiver struct {
 	watcher  *watcher
 	endpoint id.Endpoint
+	heard    atomic.Bool
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
 	if reply.Report != nil {
+		r.heard.Store(true)
 		r.watcher.manager.report(r.endpoint, reply.Report)
 		r.watcher.settle()
 	}
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -39,6 +39,8 @@
 	NoProxy bool
 	// Services overrides the settings of the two services. Default: see defaultServices.
 	Services []config.Service
+	// KeyDir is a directory for key material. Empty passes it in the environment.
+	KeyDir string
 	// EngineArgs, PlainArgs, AgentArgs and EntryArgs are added to the command lines.
 	EngineArgs, PlainArgs, AgentArgs, EntryArgs []string
 }
@@ -73,6 +75,7 @@
 type Cluster struct {
 	options     Options
 	authority   *keys.Authority
+	identities  []identity // with KeyDir only
 	Platform    *Process
 	PlatformURL string
 	Store       *platform.Client
@@ -217,18 +220,6 @@
 	return err
 }
 
-func (c *Cluster) keyEnv(role keys.Role, host id.Host) ([]string, error) {
-	material, err := c.authority.Issue(role, host, certValidity)
-	if err != nil {
-		return nil, err
-	}
-	return []string{
-		"SISKINFORD_TLS_CERTIFICATE=" + material.Certificate,
-		"SISKINFORD_TLS_KEY=" + material.Key,
-		"SISKINFORD_TLS_AUTHORITY=" + material.Authority,
-	}, nil
-}
-
 func (c *Cluster) configure(ctx context.Context) error {
 	endpoints := config.EndpointSet{}
 	for _, e := range c.Endpoints {
--- a/lab/procs/process.go
+++ b/lab/procs/process.go
@@ -109,6 +109,18 @@
 	return found, errors.Wrapf(err, "event %q", name)
 }
 
+// AwaitEvents waits for the given number of log lines with an event name.
+func (p *Process) AwaitEvents(ctx context.Context, name string, count int) error {
+	err := p.awaitLine(ctx, func(line string) bool {
+		var e Event
+		if json.Unmarshal([]byte(line), &e) == nil && e.Text("event") == name {
+			count--
+		}
+		return count == 0
+	})
+	return errors.Wrapf(err, "events %q", name)
+}
+
 // AwaitPrefix waits for a line with a prefix and returns the rest of the line.
 func (p *Process) AwaitPrefix(ctx context.Context, prefix string) (string, error) {
 	var rest string
--- a/wire/keys/authority.go
+++ b/wire/keys/authority.go
@@ -50,6 +50,9 @@
 	return &Authority{cert: cert, key: key, pem: encode("CERTIFICATE", der)}, nil
 }
 
+// PEM returns the authority's certificate.
+func (a *Authority) PEM() string { return a.pem }
+
 // Issue creates the key material of a process.
 func (a *Authority) Issue(role Role, host id.Host, valid time.Duration) (Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
