--- a/entry/operator/http.go
+++ b/entry/operator/http.go
@@ -109,16 +109,16 @@
 }
 
 func (a *API) query(w http.ResponseWriter, r *http.Request) {
-	if !a.limiter.Allow() {
-		w.Header().Set("Retry-After", "1")
-		write(w, http.StatusTooManyRequests, &answer.Reply{Error: "too many questions"})
-		return
-	}
 	operator, ok := a.operator(r)
 	if !ok {
 		write(w, http.StatusUnauthorized, &answer.Reply{Error: "the bearer token is not the key of an operator"})
 		return
 	}
+	if !a.limiter.Allow() {
+		w.Header().Set("Retry-After", "1")
+		write(w, http.StatusTooManyRequests, &answer.Reply{Error: "too many questions"})
+		return
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(questionTimeout))
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	var q answer.Question
--- a/itest/operate_test.go
+++ b/itest/operate_test.go
@@ -75,7 +75,7 @@
 	r, err := c.Operate(ctx, c.Entries[0], "drain endpoint asistente-0\nset endpoint asistente-1 weight 200\ndrain endpoint nobody\n", "query")
 	assert.NilError(t, err)
 	assert.Equal(t, r.Code, process.ExitUsage)
-	assert.Assert(t, strings.Contains(r.Stderr, "line 2, column 1: weight: 200 is outside 0 to 100"), r.Stderr)
+	assert.Assert(t, strings.Contains(r.Stderr, "line 2, column 26: weight: 200 is outside 0 to 100"), r.Stderr)
 	assert.Assert(t, strings.Contains(r.Stderr, `line 3, column 16: endpoint "nobody" does not exist`), r.Stderr)
 	r, err = c.Operate(ctx, c.Entries[0], "drain endpoint asistente-0\ndelete service mostrador\n", "query", "--file=-")
 	assert.NilError(t, err)
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -78,6 +78,8 @@
 	for _, e := range f.Entries {
 		fmt.Fprintf(out, "%s    callers %s  operators http://%s  zone %s\n", e.Host, e.URL(), e.Server.OperatorAddress(), e.Zone)
 	}
+	fmt.Fprintf(out, "\nexport SISKINFORD_ENTRY=http://%s SISKINFORD_OPERATOR_KEY=%s URL=%s KEY=%s\n",
+		f.Entries[0].Server.OperatorAddress(), fleet.DemoOperatorKey, f.Entries[0].URL(), fleet.DemoKey)
 	url := f.Entries[0].URL()
 	fmt.Fprintf(out, `
 curl -N %[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"asistente-1","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"a chest for Candelaria"}]}'
--- a/lab/fleet/config.go
+++ b/lab/fleet/config.go
@@ -47,6 +47,9 @@
 // DemoKey is the API key of the team in the demonstration fleet.
 const DemoKey = "demo-key-puno"
 
+// DemoOperatorKey is the key of the operator of the demonstration fleet.
+const DemoOperatorKey = "demo-operator-key"
+
 // BaulAndino returns the fleet of Baúl Andino: 3 zones, 4 entry hosts, 16 model
 // replicas and 3 plain replicas.
 func BaulAndino() Config {
@@ -54,6 +57,7 @@
 	entry.CallerListen = "127.0.0.1:0"
 	entry.OperatorListen = "127.0.0.1:0"
 	entry.PeerListen = "127.0.0.1:0"
+	entry.Operator.KeyHashes = "demo=" + config.HashKey(DemoOperatorKey)
 	return Config{
 		Region:  "lima",
 		Zones:   []id.Zone{"lima-a", "lima-b", "lima-c"},
--- a/operate/change/change_test.go
+++ b/operate/change/change_test.go
@@ -77,7 +77,7 @@
 		`line 4, column 27: field "weight" cannot have the value "heavy"`,
 		`line 5, column 13: endpoint "a" has weight 1, less than 3`,
 		`line 6, column 43: endpoint "c" belongs to service "t", endpoint "a" to "s"`,
-		`line 5, column 1: weight: 101 is outside 0 to 100`,
+		`line 1, column 16: weight: 101 is outside 0 to 100`,
 	})
 }
 
--- a/operate/change/plan.go
+++ b/operate/change/plan.go
@@ -21,9 +21,9 @@
 	Changes []Change
 
 	first string
-	// places maps the position of a member to the place of the last command that
-	// named it.
-	places map[int]string
+	// places maps members and their fields to the place of the last command that
+	// named them.
+	places map[memberField]string
 }
 
 // KindOf returns the kind that the commands change. Commands of several kinds
@@ -58,13 +58,22 @@
 	return config.Kind(object + "s")
 }
 
+// memberField is a field of the member at a position, or the member itself.
+type memberField struct {
+	position int
+	field    string
+}
+
+// namedField is a field of a named member, or the member itself.
+type namedField struct{ name, field string }
+
 // planner applies commands one after the other.
 type planner struct {
 	set       *set
 	statement *lang.Statement
 	findings  finding.List
-	// touched maps names of members to the place of the last command.
-	touched map[string]string
+	// touched maps members and fields to the place of the last command.
+	touched map[namedField]string
 }
 
 // Make applies commands of one kind to a value and validates the result by
@@ -78,15 +87,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &planner{set: after, touched: make(map[string]string)}
+	p := &planner{set: after, touched: make(map[namedField]string)}
 	for _, s := range statements {
 		p.statement = s
 		p.apply(s.Command)
 	}
-	plan := &Plan{Kind: kind, Changes: before.diff(after), first: statements[0].Start(), places: make(map[int]string)}
-	for name, place := range p.touched {
-		if i := after.find(name); i >= 0 {
-			plan.places[i] = place
+	plan := &Plan{Kind: kind, Changes: before.diff(after), first: statements[0].Start(), places: make(map[memberField]string)}
+	for named, place := range p.touched {
+		if i := after.find(named.name); i >= 0 {
+			plan.places[memberField{i, named.field}] = place
 		}
 	}
 	if plan.Value, err = after.encode(); err != nil {
@@ -128,7 +137,7 @@
 		p.addf(p.statement.Place(o.Name.Pos), "%s %q does not exist", o.Kind, name(o))
 		return reflect.Value{}, false
 	}
-	p.touched[name(o)] = p.statement.Start()
+	p.touched[namedField{name: name(o)}] = p.statement.Start()
 	return p.set.member(i), true
 }
 
@@ -137,7 +146,7 @@
 		p.addf(p.statement.Place(e.Object.Name.Pos), "%s %q exists already", e.Object.Kind, name(e.Object))
 		return
 	}
-	p.touched[name(e.Object)] = p.statement.Start()
+	p.touched[namedField{name: name(e.Object)}] = p.statement.Start()
 	p.assign(p.set.add(name(e.Object)), e.Settings)
 }
 
@@ -195,7 +204,11 @@
 	}
 	i, _ := strconv.Atoi(m[1])
 	field := strings.TrimPrefix(f.Place, m[0])
-	place, ok := p.places[i]
+	name, _, _ := strings.Cut(field, "[")
+	place, ok := p.places[memberField{i, name}]
+	if !ok {
+		place, ok = p.places[memberField{position: i}]
+	}
 	if !ok {
 		return finding.Finding{Place: p.first, Message: fmt.Sprintf("%s: %s", f.Place, f.Message)}
 	}
@@ -217,6 +230,7 @@
 			continue
 		}
 		field.Set(fresh.Elem())
+		p.touched[namedField{nameOf(member), s.Field.Text}] = p.statement.Place(s.Field.Pos)
 	}
 }
 
