--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -113,6 +113,7 @@
 	if (d.Engine == nil) == (d.Plain == nil) {
 		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
 	}
+	c.Link.Clock = d.Ring.Clock()
 	now := monotonicClock()
 	awake := newPauseClock(now)
 	inc := d.Incarnation
--- a/agent/ranklink/ranklink.go
+++ b/agent/ranklink/ranklink.go
@@ -27,11 +27,11 @@
 const EventRefused timeline.Kind = "rank.refused"
 
 var (
-	messagesReceived = metrics.NewCounter(`siskinford_group_messages_total{direction="received"}`)
-	messagesSent     = metrics.NewCounter(`siskinford_group_messages_total{direction="sent"}`)
-	bytesReceived    = metrics.NewCounter(`siskinford_group_bytes_total{direction="received"}`)
-	bytesSent        = metrics.NewCounter(`siskinford_group_bytes_total{direction="sent"}`)
-	ordersDropped    = metrics.NewCounter(`siskinford_rank_orders_dropped_total`)
+	messagesReceived = metrics.GetOrCreateCounter(`siskinford_group_messages_total{direction="received"}`)
+	messagesSent     = metrics.GetOrCreateCounter(`siskinford_group_messages_total{direction="sent"}`)
+	bytesReceived    = metrics.GetOrCreateCounter(`siskinford_group_bytes_total{direction="received"}`)
+	bytesSent        = metrics.GetOrCreateCounter(`siskinford_group_bytes_total{direction="sent"}`)
+	ordersDropped    = metrics.GetOrCreateCounter(`siskinford_rank_orders_dropped_total`)
 )
 
 // Runner runs the ranks of one host. It is safe for concurrent use.
--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
@@ -59,13 +60,13 @@
 	return w.endpoint, w.version
 }
 
-// run connects again whenever the connection is lost.
+// run connects again whenever the connection is lost: at once if a report had
+// arrived on it, otherwise after a pause.
 func (w *watcher) run() {
 	for w.ctx.Err() == nil {
 		endpoint, _ := w.current()
 		conn, err := w.manager.pool.Conn(w.ctx, endpoint.Address)
-		if err == nil {
-			w.subscribe(conn)
+		if err == nil && w.subscribe(conn) {
 			continue
 		}
 		w.settle()
@@ -86,25 +87,26 @@
 	}
 }
 
-// subscribe receives reports until the connection or the watcher ends.
-func (w *watcher) subscribe(conn *link.Conn) {
+// subscribe receives reports until the connection or the watcher ends. It
+// returns whether one arrived.
+func (w *watcher) subscribe(conn *link.Conn) bool {
 	endpoint, _ := w.current()
 	interval := w.manager.reportInterval(endpoint.Zone)
 	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
-	call, err := conn.Send(order, &reportReceiver{watcher: w, endpoint: endpoint.Name})
+	receiver := &reportReceiver{watcher: w, endpoint: endpoint.Name}
+	call, err := conn.Send(order, receiver)
 	if err != nil {
-		w.pause()
-		return
+		return false
 	}
 	defer call.Release()
 	w.sendDrain(conn)
 	for {
 		select {
 		case <-w.ctx.Done():
-			return
+			return receiver.heard.Load()
 		case <-conn.Done():
 			w.manager.lost(endpoint.Name)
-			return
+			return receiver.heard.Load()
 		case <-w.changed:
 			w.sendDrain(conn)
 		}
@@ -127,6 +129,7 @@
 	endpoint id.Endpoint
 	// incarnation is that of the first report. Replies arrive on one goroutine.
 	incarnation id.Incarnation
+	heard       atomic.Bool
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
@@ -139,6 +142,7 @@
 	case r.incarnation == "":
 		r.incarnation = report.Incarnation
 	}
+	r.heard.Store(true)
 	report.Endpoint = r.endpoint
 	report.Incarnation = r.incarnation
 	r.watcher.manager.report(r.endpoint, report)
--- a/entry/groups/link.go
+++ b/entry/groups/link.go
@@ -22,10 +22,10 @@
 )
 
 var (
-	messagesReceived = metrics.NewCounter(`siskinford_group_messages_total{direction="received"}`)
-	messagesSent     = metrics.NewCounter(`siskinford_group_messages_total{direction="sent"}`)
-	bytesReceived    = metrics.NewCounter(`siskinford_group_bytes_total{direction="received"}`)
-	bytesSent        = metrics.NewCounter(`siskinford_group_bytes_total{direction="sent"}`)
+	messagesReceived = metrics.GetOrCreateCounter(`siskinford_group_messages_total{direction="received"}`)
+	messagesSent     = metrics.GetOrCreateCounter(`siskinford_group_messages_total{direction="sent"}`)
+	bytesReceived    = metrics.GetOrCreateCounter(`siskinford_group_bytes_total{direction="received"}`)
+	bytesSent        = metrics.GetOrCreateCounter(`siskinford_group_bytes_total{direction="sent"}`)
 )
 
 // links carries the orders of one group to the agents of its ranks, and their
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -13,6 +13,7 @@
 	"github.com/siskinford/siskinford/entry/endpoints"
 	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/entry/limits"
+	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/wire/link"
 )
 
@@ -46,6 +47,7 @@
 	KeyRetention time.Duration
 	// Events is the number of events that the time line keeps. Default: 20,000.
 	Events    int
+	Operator  operator.APIConfig
 	Caller    caller.Config
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
@@ -64,6 +66,7 @@
 		Admission:      true,
 		KeyRetention:   30 * time.Minute,
 		Events:         20_000,
+		Operator:       operator.DefaultAPIConfig(),
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
@@ -94,10 +97,11 @@
 	if c.ReadyDelay < 0 {
 		l.Addf("ready-delay", "duration %v is negative", c.ReadyDelay)
 	}
+	l.Merge("", c.Operator.Validate())
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
 	l.Merge("limit-", c.Limits.Validate())
 	l.Merge("", c.Groups.Validate())
-	l.Merge("link-", c.Link.Validate())
+	l.Merge("", c.Link.Validate())
 	return l
 }
--- a/entry/server/fleet.go
+++ b/entry/server/fleet.go
@@ -26,17 +26,20 @@
 	members  *member.Runner
 	spreader *spread.Spreader
 	hosts    *hosts.Watcher
+	// operators carries operators' questions to other entries.
+	operators transport.Caller
 }
 
 // startNode listens for other entries and joins the fleet.
 func (s *Server) startNode() error {
 	n := &s.node
-	n.pool = link.NewPool(link.PeerConfig(), func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
+	n.pool = link.NewPool(s.peerConfig(), func() *tls.Config { return s.deps.Keys.Client(keys.RoleEntry) })
 	s.exposeTraffic("entries", n.pool)
 	mux := transport.NewMux(peer.NewCaller(n.pool), s.metrics)
+	n.operators = mux.Caller(transport.Operators)
 	var err error
 	handler := peer.NewServer(mux.Handle, s.selectEvents)
-	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), link.PeerConfig(), handler)
+	n.server, err = link.Listen(s.config.PeerListen, s.deps.Keys.Server(keys.RoleEntry), s.peerConfig(), handler)
 	if err != nil {
 		return err
 	}
@@ -57,6 +60,7 @@
 	mux.Register(transport.Membership, n.members.Handle)
 	mux.Register(transport.Configuration, n.spreader.Handle)
 	mux.Register(transport.Duties, n.hosts.Handle)
+	mux.Register(transport.Operators, s.operator.Handle)
 	if err := s.connectLimits(mux); err != nil {
 		return err
 	}
@@ -68,6 +72,13 @@
 	return nil
 }
 
+// peerConfig returns the bounds of connections between entries.
+func (s *Server) peerConfig() link.Config {
+	c := link.PeerConfig()
+	c.Clock = s.config.Link.Clock
+	return c
+}
+
 func (s *Server) newMembers(mux *transport.Mux) (*member.Runner, error) {
 	address := s.config.PeerAddress
 	if address == "" {
--- a/entry/server/operator.go
+++ b/entry/server/operator.go
@@ -6,11 +6,13 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/siskinford/siskinford/core/ops"
+	"github.com/siskinford/siskinford/entry/operator"
 )
 
 func (s *Server) operatorHandler() http.Handler {
 	r := chi.NewRouter()
 	ops.Routes(r, s.metrics, s.unready)
+	operator.NewAPI(s.config.Operator, s.operator).Routes(r)
 	return r
 }
 
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/siskinford/siskinford/entry/endpoints"
 	"github.com/siskinford/siskinford/entry/groups"
 	"github.com/siskinford/siskinford/entry/limits"
+	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -56,6 +57,8 @@
 	admission *admission.Admitter
 	limits    *limits.Limits
 	groups    *groups.Manager
+	requests  *operator.Requests
+	operator  *operator.Service
 	callers   *http.Server
 	operators *http.Server
 
@@ -74,9 +77,11 @@
 	if err := c.Validate().Err(); err != nil {
 		return nil, err
 	}
+	c.Link.Clock = d.Ring.Clock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
-	s.events = timeline.Logged{Ring: d.Ring, Log: d.Log}
+	s.requests = operator.NewRequests(operator.DefaultRequests, time.Now)
+	s.events = s.requests.Record(timeline.Logged{Ring: d.Ring, Log: d.Log})
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	prefixes := prefix.NewIndex(prefix.Config{})
 	s.exposeTraffic("agents", s.pool)
@@ -90,11 +95,13 @@
 	endpointConfig.Zone = c.Zone
 	endpointConfig.Host = c.Host
 	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
+	s.operator = s.newOperator()
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 		s.admission.Update(n.Teams(), n.Services())
 		s.limits.SetTeams(n.Teams())
 		s.groups.Update(n)
+		s.operator.Observe(n)
 	})
 	if s.limits, err = s.newLimits(); err != nil {
 		cancel()
@@ -115,6 +122,7 @@
 	dispatcher := dispatch.New(s.config.Dispatch, dispatch.Deps{
 		Zone: s.config.Zone, Picker: picker, Table: s.table, Budget: retry.NewBudget(retry.Config{}),
 		Directory: s.endpoints, Pool: s.pool, Recorder: s.events,
+		Chosen: s.requests.Chosen,
 	})
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
--- a/fleet/transport/mux.go
+++ b/fleet/transport/mux.go
@@ -21,6 +21,8 @@
 	Duties
 	// Limits payloads divide the teams' limits between entries.
 	Limits
+	// Operators payloads carry operators' questions between entries.
+	Operators
 
 	purposes
 )
@@ -36,6 +38,8 @@
 		return "duties"
 	case Limits:
 		return "limits"
+	case Operators:
+		return "operators"
 	}
 	return fmt.Sprintf("purpose-%d", byte(p))
 }
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -28,6 +28,8 @@
 	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
 	// Group is for the ranks on the agent's host.
 	Group *Group `cbor:"16,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock. It is not set in probes.
+	Stamp *timeline.Stamp `cbor:"12,keyasint,omitempty"`
 }
 
 // Reply is a message from the listening side of a connection. Exactly one of the
@@ -45,6 +47,9 @@
 	// Group is sent to each session that sent an order with Group, under the ID
 	// of the first one.
 	Group *Group `cbor:"16,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock. It is not set in probes,
+	// reports and frames in the middle of an answer.
+	Stamp *timeline.Stamp `cbor:"9,keyasint,omitempty"`
 }
 
 // Group carries an encoded groupmsg.Order to an agent, or a groupmsg.Status from it.
@@ -52,6 +57,15 @@
 	Payload []byte `cbor:"1,keyasint,omitempty"`
 }
 
+// Causal reports whether the reply carries a stamp: frames in the middle of an
+// answer, reports and probes are left out, since there are many of them.
+func (r *Reply) Causal() bool {
+	if r.Frame != nil {
+		return r.Frame.End != nil || r.Frame.Refused != nil || r.Frame.Head != nil
+	}
+	return r.Report == nil && r.Probe == nil
+}
+
 // Peer carries an encoded message of package fleet.
 type Peer struct {
 	Payload []byte `cbor:"1,keyasint,omitempty"`
