Shares at or below their floor take no part in exchanges

Cause: a share counted as idle below one token per second, so that a team with a small limit and a demand between its floor and one token had its floor only. Change: a share is idle while it is asked for no more than its floor.

--- a/balance/limit/limit_test.go
+++ b/balance/limit/limit_test.go
@@ -274,6 +274,18 @@
 	}
 }
 
+func TestIdleUpToFloor(t *testing.T) {
+	s := NewShare(10, epoch)
+	assert.Assert(t, s.Idle(epoch))
+	s.Take(20, epoch)
+	assert.Assert(t, !s.Idle(epoch))
+	s.SetFloor(30, epoch)
+	assert.Assert(t, s.Idle(epoch))
+	s.SetFloor(0, epoch)
+	assert.Assert(t, !s.Idle(epoch.Add(time.Second)))
+	assert.Assert(t, s.Idle(epoch.Add(time.Minute)))
+}
+
 func TestShareConcurrentUse(t *testing.T) {
 	s := NewShare(1000, epoch)
 	var wg sync.WaitGroup
--- a/balance/limit/share.go
+++ b/balance/limit/share.go
@@ -11,6 +11,8 @@
 	demandMemory = time.Second
 	// burstTime is the time for which an unused rate is saved up.
 	burstTime = time.Second
+	// minAsked is the number of tokens below which a share counts as idle in any case.
+	minAsked = 0.01
 )
 
 // Share enforces one team's part of its limit at one entry. It is safe for concurrent use.
@@ -66,13 +68,13 @@
 	s.floor = floor
 }
 
-// Idle reports whether the share was asked for less than a token lately, so
+// Idle reports whether the share was lately asked for no more than its floor, so
 // that no exchange is needed.
 func (s *Share) Idle(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decay(now)
-	return s.asked < 1
+	return s.asked <= max(s.floor*demandMemory.Seconds(), minAsked)
 }
 
 // fill adds the tokens since the last call at the rates that were in force, and
