--- a/entry/limits/bytes_test.go
+++ b/entry/limits/bytes_test.go
@@ -32,10 +32,7 @@
 	}
 	for _, size := range sizes {
 		t.Run(fmt.Sprintf("%d zones of %d entries", size.zones, size.entries), func(t *testing.T) {
-			var list []config.Team
-			for i := range teams {
-				list = append(list, config.Team{Name: id.Team(fmt.Sprintf("team-%d", i)), TokensPerSecond: 1000})
-			}
+			list := limitedTeams(teams)
 			w := newWorld(t, size.zones, size.entries, list)
 			w.teams = list[:active]
 			w.size.Interval = size.interval
@@ -56,3 +53,29 @@
 		})
 	}
 }
+
+func limitedTeams(n int) []config.Team {
+	var list []config.Team
+	for i := range n {
+		list = append(list, config.Team{Name: id.Team(fmt.Sprintf("team-%d", i)), TokensPerSecond: 1000})
+	}
+	return list
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, n := range []int{10, 890} {
+		b.Run(fmt.Sprintf("%d teams", n), func(b *testing.B) {
+			l, err := New(DefaultConfig())
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := limitedTeams(n)
+			l.SetTeams(list)
+			now := time.Now()
+			for i := range b.N {
+				now = now.Add(time.Microsecond)
+				l.Take(list[i%n].Name, 1, now)
+			}
+		})
+	}
+}
