--- a/entry/limits/exchange.go
+++ b/entry/limits/exchange.go
@@ -146,11 +146,13 @@
 	l.eachShard(func(i int) { l.exchangeFleet(ctx, i) })
 }
 
-// eachShard calls f for all shards at once and waits.
+// eachShard calls f for all shards with limited teams at once and waits.
 func (l *Limits) eachShard(f func(shard int)) {
 	var wg sync.WaitGroup
-	for i := range l.shards {
-		wg.Go(func() { f(i) })
+	for i, list := range l.teams.Load().byShard {
+		if len(list) > 0 {
+			wg.Go(func() { f(i) })
+		}
 	}
 	wg.Wait()
 }
