--- /dev/null
+++ b/agent/ranklink/ranklink_test.go
@@ -0,0 +1,56 @@
+package ranklink
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/agent/rank"
+	"github.com/siskinford/siskinford/balance/groupmsg"
+	"github.com/siskinford/siskinford/balance/lockstep"
+	"github.com/siskinford/siskinford/wire/codec"
+	"github.com/siskinford/siskinford/wire/keys"
+	"github.com/siskinford/siskinford/wire/link"
+	"github.com/siskinford/siskinford/wire/msg"
+)
+
+func TestOrdersOfEntriesOnly(t *testing.T) {
+	payload, err := codec.Marshal(groupmsg.Order{Group: "g", Command: lockstep.Command{Kind: lockstep.Join, Rank: 3}})
+	assert.NilError(t, err)
+	foreign, err := codec.Marshal(groupmsg.Order{Group: "g", Command: lockstep.Command{Kind: lockstep.Join, Rank: 4}})
+	assert.NilError(t, err)
+	tests := []struct {
+		name               string
+		role               keys.Role
+		payload            []byte
+		orders, subscribed int
+	}{
+		{"entry", keys.RoleEntry, payload, 1, 1},
+		{"agent", keys.RoleAgent, payload, 0, 0},
+		{"rank of another host", keys.RoleEntry, foreign, 0, 1},
+		{"malformed", keys.RoleEntry, []byte{0xff}, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New(DefaultConfig(), rank.Config{Group: "g", Incarnation: "inc", Ranks: []rank.Local{{Index: 3}}})
+			s := &link.Session{Role: tt.role}
+			r.Order(s, &msg.Order{ID: 1, Group: &msg.Group{Payload: tt.payload}})
+			assert.Equal(t, len(r.pending[3]), tt.orders)
+			assert.Equal(t, len(r.sessions), tt.subscribed)
+			r.Closed(s)
+			assert.Equal(t, len(r.sessions), 0)
+		})
+	}
+}
+
+// TestFullQueueDropsOrders verifies that orders for an engine that does not answer
+// neither block nor pile up.
+func TestFullQueueDropsOrders(t *testing.T) {
+	payload, err := codec.Marshal(groupmsg.Order{Group: "g", Command: lockstep.Command{Kind: lockstep.Join, Rank: 3}})
+	assert.NilError(t, err)
+	r := New(DefaultConfig(), rank.Config{Group: "g", Incarnation: "inc", Ranks: []rank.Local{{Index: 3}}})
+	for range 2 * maxPending {
+		r.Order(&link.Session{Role: keys.RoleEntry}, &msg.Order{Group: &msg.Group{Payload: payload}})
+	}
+	assert.Equal(t, len(r.pending[3]), maxPending)
+}
