--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -66,6 +66,7 @@
 	server      *link.Server
 	operator    operatorServer
 	now         func() time.Time
+	awake       *pauseClock
 
 	ctx     context.Context // ends when running attempts are cut off
 	cancel  context.CancelFunc
@@ -113,6 +114,7 @@
 		return nil, errors.Newf("endpoint %q needs either an engine or a plain service", c.Endpoint)
 	}
 	now := monotonicClock()
+	awake := newPauseClock(now)
 	inc := d.Incarnation
 	if inc == "" {
 		inc = id.NewIncarnation()
@@ -122,9 +124,10 @@
 		config:      c,
 		deps:        d,
 		incarnation: inc,
-		ledger:      ledger.New(c.Ledger, now),
+		ledger:      ledger.New(c.Ledger, awake.read),
 		tickets:     ticket.NewIssuer(c.Endpoint, inc, c.TicketLifetime, now),
 		now:         now,
+		awake:       awake,
 		ctx:         ctx,
 		cancel:      cancel,
 		queue:       newQueue(c),
@@ -248,6 +251,7 @@
 			return
 		case <-ticker.C:
 		}
+		a.awake.tick()
 		a.reschedule()
 		if a.now().Sub(lastExpire) > time.Second {
 			lastExpire = a.now()
--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/wire/link"
 	"github.com/siskinford/siskinford/wire/msg"
@@ -90,10 +89,7 @@
 // subscribe receives reports until the connection or the watcher ends.
 func (w *watcher) subscribe(conn *link.Conn) {
 	endpoint, _ := w.current()
-	interval := w.manager.config.ReportInterval
-	if endpoint.Zone != w.manager.config.Zone {
-		interval = w.manager.config.RemoteReportInterval
-	}
+	interval := w.manager.reportInterval(endpoint.Zone)
 	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
 	call, err := conn.Send(order, &reportReceiver{watcher: w, endpoint: endpoint.Name})
 	if err != nil {
@@ -107,7 +103,7 @@
 		case <-w.ctx.Done():
 			return
 		case <-conn.Done():
-			w.manager.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: endpoint.Name})
+			w.manager.lost(endpoint.Name)
 			return
 		case <-w.changed:
 			w.sendDrain(conn)
@@ -129,13 +125,24 @@
 type reportReceiver struct {
 	watcher  *watcher
 	endpoint id.Endpoint
+	// incarnation is that of the first report. Replies arrive on one goroutine.
+	incarnation id.Incarnation
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
-	if reply.Report != nil {
-		r.watcher.manager.report(r.endpoint, reply.Report)
-		r.watcher.settle()
+	report := reply.Report
+	switch {
+	case report == nil:
+		return
+	case r.incarnation == "" && report.Endpoint != r.endpoint:
+		return // another agent listens at the address
+	case r.incarnation == "":
+		r.incarnation = report.Incarnation
 	}
+	report.Endpoint = r.endpoint
+	report.Incarnation = r.incarnation
+	r.watcher.manager.report(r.endpoint, report)
+	r.watcher.settle()
 }
 
 func (r *reportReceiver) Lost(bool, error) {}
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -12,6 +12,7 @@
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
 	"github.com/siskinford/siskinford/entry/groups"
+	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/wire/link"
 )
 
@@ -48,6 +49,7 @@
 	Caller    caller.Config
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
+	Limits    limits.Config
 	Groups    groups.Config
 	Link      link.Config
 }
@@ -65,6 +67,7 @@
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
+		Limits:         limits.DefaultConfig(),
 		Groups:         groups.DefaultConfig(),
 		Link:           link.DefaultConfig(),
 	}
@@ -93,6 +96,7 @@
 	}
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
+	l.Merge("limit-", c.Limits.Validate())
 	l.Merge("", c.Groups.Validate())
 	l.Merge("link-", c.Link.Validate())
 	return l
