--- a/itest/ranks_test.go
+++ b/itest/ranks_test.go
@@ -240,6 +240,7 @@
 	w := newGroupWorld(t)
 	assert.NilError(t, w.SetPlatformFaults(w.ctx, labplatform.Faults{Outage: labplatform.OutageRefuse}))
 	w.until("no coordinator", func() bool { return len(w.coordinators()) == 0 })
+	w.awaitSteps(200) // A change that was decided on takes hold in these.
 	before := w.summary()
 	w.awaitSteps(100)
 	assert.DeepEqual(t, w.summary().Maps, before.Maps)
