--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -39,6 +39,21 @@
 	Keys   *keys.Ring
 	Ring   *timeline.Ring
 	Log    zerolog.Logger
+	// Incarnation is that of the process. Default: a new one.
+	Incarnation id.Incarnation
+	// Ranks runs the ranks on the host, if there are any.
+	Ranks Ranks
+}
+
+// Ranks is the part of the host's ranks that the agent serves. It is implemented
+// by *ranklink.Runner.
+type Ranks interface {
+	// Order takes an order with Group set. It must not block.
+	Order(s *link.Session, o *msg.Order)
+	// Closed tells that a session has ended. It must not block.
+	Closed(s *link.Session)
+	// Run drives the ranks until ctx ends.
+	Run(ctx context.Context)
 }
 
 // Agent is the agent of one endpoint. It is safe for concurrent use.
@@ -51,6 +66,7 @@
 	server      *link.Server
 	operator    operatorServer
 	now         func() time.Time
+	awake       *pauseClock
 
 	ctx     context.Context // ends when running attempts are cut off
 	cancel  context.CancelFunc
@@ -99,15 +115,20 @@
 	}
 	c.Link.Clock = d.Ring.Clock()
 	now := monotonicClock()
-	inc := id.NewIncarnation()
+	awake := newPauseClock(now)
+	inc := d.Incarnation
+	if inc == "" {
+		inc = id.NewIncarnation()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		config:      c,
 		deps:        d,
 		incarnation: inc,
-		ledger:      ledger.New(c.Ledger, now),
+		ledger:      ledger.New(c.Ledger, awake.read),
 		tickets:     ticket.NewIssuer(c.Endpoint, inc, c.TicketLifetime, now),
 		now:         now,
+		awake:       awake,
 		ctx:         ctx,
 		cancel:      cancel,
 		queue:       newQueue(c),
@@ -138,6 +159,9 @@
 	}
 	a.wg.Go(a.housekeeping)
 	a.wg.Go(func() { a.reports.poll(a.ctx) })
+	if a.deps.Ranks != nil {
+		a.wg.Go(func() { a.deps.Ranks.Run(a.ctx) })
+	}
 	a.record(timeline.Event{Kind: "agent.started", Detail: server.Address()})
 	a.deps.Log.Info().Str("event", "agent.operators").Msg(a.OperatorAddress())
 	return nil
@@ -228,6 +252,7 @@
 			return
 		case <-ticker.C:
 		}
+		a.awake.tick()
 		a.reschedule()
 		if a.now().Sub(lastExpire) > time.Second {
 			lastExpire = a.now()
--- a/cmd/internal/programs/agent.go
+++ b/cmd/internal/programs/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/siskinford/siskinford/agent/gate"
+	"github.com/siskinford/siskinford/agent/ranklink"
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/settings"
 	"github.com/siskinford/siskinford/wire/keys"
@@ -19,6 +20,8 @@
 type Agent struct {
 	Gate gate.Config
 	Keys keys.Config
+	// Ranks is the way to the ranks of a group on this host, if any.
+	Ranks ranklink.Config
 	// EngineURL or PlainURL is the base URL of the back end on this host.
 	EngineURL, PlainURL string
 	// Shutdown is the time for requests in flight at shutdown. Default: 30 s.
@@ -31,7 +34,7 @@
 
 // NewAgent returns the defaults.
 func NewAgent() *Agent {
-	return &Agent{Gate: gate.DefaultConfig(), Shutdown: defaultShutdown, Events: defaultAgentEvents}
+	return &Agent{Gate: gate.DefaultConfig(), Ranks: ranklink.DefaultConfig(), Shutdown: defaultShutdown, Events: defaultAgentEvents}
 }
 
 // Set implements Program.
@@ -39,6 +42,7 @@
 	set := settings.New(AgentName)
 	a.Gate.Register(set)
 	a.Keys.Register(set)
+	a.Ranks.Register(set)
 	set.String(&a.EngineURL, "engine-url", "Base URL of the model engine on this host")
 	set.String(&a.PlainURL, "plain-url", "Base URL of the plain service on this host")
 	set.Duration(&a.Shutdown, "shutdown-timeout", "Time for requests in flight at shutdown")
@@ -51,6 +55,7 @@
 func (a *Agent) Validate() finding.List {
 	l := a.Gate.Validate()
 	l.Merge("", a.Keys.Validate())
+	l.Merge("", a.Ranks.Validate())
 	if (a.EngineURL == "") == (a.PlainURL == "") {
 		l.Addf("engine-url", "exactly one of --engine-url and --plain-url must be set")
 	}
--- a/cmd/siskinford-agent/main.go
+++ b/cmd/siskinford-agent/main.go
@@ -10,7 +10,9 @@
 	"github.com/siskinford/siskinford/agent/engine"
 	"github.com/siskinford/siskinford/agent/gate"
 	"github.com/siskinford/siskinford/agent/plain"
+	"github.com/siskinford/siskinford/agent/ranklink"
 	"github.com/siskinford/siskinford/cmd/internal/programs"
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/process"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/wire/keys"
@@ -47,5 +49,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.Ranks.Group != "" {
+		d.Incarnation = id.NewIncarnation()
+		d.Ranks, err = ranklink.Open(p.Ranks, d.Incarnation, timeline.Logged{Ring: d.Ring, Log: d.Log})
+	}
+	if err != nil {
+		return nil, err
+	}
 	return gate.New(p.Gate, d)
 }
--- a/core/timeline/clock.go
+++ b/core/timeline/clock.go
@@ -7,6 +7,7 @@
 
 // Stamp is a reading of a hybrid logical clock. Stamps are ordered by Wall, then by Logical.
 type Stamp struct {
+	_ struct{} `cbor:",toarray"`
 	// Wall is the time in nanoseconds since the Unix epoch.
 	Wall int64 `json:"wall"`
 	// Logical orders events with the same Wall.
--- a/entry/dispatch/recover.go
+++ b/entry/dispatch/recover.go
@@ -19,6 +19,7 @@
 			"connection to endpoint %q was lost before the request was sent: %v", t.choice.Endpoint, cause)}, true
 	}
 	t.recovered = true
+	t.failed()
 	detail := "frame missing"
 	if cause != nil {
 		detail = cause.Error()
@@ -57,7 +58,7 @@
 	s := newStream()
 	order, err := conn.Send(&msg.Order{Attach: &msg.Attach{
 		Attempt: t.assembler.attempt, Incarnation: t.choice.Incarnation, From: t.assembler.next,
-		Team: t.call.Team, Action: t.call.Action,
+		Team: t.call.Team, Action: t.call.Action, PayloadHash: t.call.PayloadHash,
 	}}, s)
 	if err != nil {
 		return false
--- a/entry/dispatch/try.go
+++ b/entry/dispatch/try.go
@@ -35,6 +35,7 @@
 // run sends the attempt and receives its answer.
 func (t *try) run(ctx context.Context) Result {
 	if problem := t.send(ctx); problem != nil {
+		t.failed()
 		return Result{Outcome: outcome.NotRun, Problem: problem}
 	}
 	defer func() { t.order.Release() }()
@@ -51,7 +52,7 @@
 				return t.withdraw(problem.DeadlineExceeded, "the answer did not begin in time")
 			}
 		case <-ctx.Done():
-			return t.withdraw(problem.OutcomeUnknown, errCallerLeft.Error())
+			return t.withdraw(problem.ShuttingDown, errAbandoned.Error())
 		}
 	}
 }
@@ -105,6 +106,9 @@
 	var corrupt *ChecksumError
 	for _, f := range frames {
 		if f.Refused != nil {
+			if !t.assembler.owns(f) {
+				continue
+			}
 			return t.refused(f.Refused), true
 		}
 		fresh, err := t.assembler.accept(f)
@@ -120,7 +124,7 @@
 		}
 	}
 	if err := t.deliver(batch); err != nil {
-		return t.withdraw(problem.OutcomeUnknown, errCallerLeft.Error()), true
+		return t.withdraw(problem.ShuttingDown, errAbandoned.Error()), true
 	}
 	switch {
 	case t.assembler.end != nil:
@@ -146,13 +150,25 @@
 	return t.sink.Frames(batch)
 }
 
-// observe tells the routing table how long the first frame took.
+// observe tells the routing table and the caller of the dispatcher how long the
+// first frame took.
 func (t *try) observe() {
-	if t.call.Bound != nil {
-		return
-	}
 	now := time.Now()
-	t.deps.Table.Observe(t.choice, now.Sub(t.begun), now)
+	after := now.Sub(t.begun)
+	if t.call.FirstFrame != nil {
+		t.call.FirstFrame(after)
+		t.call.FirstFrame = nil
+	}
+	if t.call.Bound == nil {
+		t.deps.Table.Observe(t.choice, after, now)
+	}
+}
+
+// failed tells the routing table that the endpoint did not answer.
+func (t *try) failed() {
+	if t.call.Bound == nil {
+		t.deps.Table.Failed(t.choice, time.Now())
+	}
 }
 
 func (t *try) ended(end *msg.End) Result {
@@ -175,6 +191,7 @@
 // refused converts an agent's refusal. The attempt was not started and never will
 // be, unless the refusing agent is a later incarnation than the one that was asked.
 func (t *try) refused(r *msg.Refusal) Result {
+	t.failed()
 	t.record(t.call, "request.refused", t.attempt, t.choice.Endpoint, string(r.Code))
 	p := problem.Newf(refusalCode(r.Code), "endpoint %q refused: %s", t.choice.Endpoint, r.Detail)
 	p.RetryAfter = time.Duration(r.RetryAfter) * time.Microsecond
@@ -189,10 +206,11 @@
 
 // actionOutcome tells what a refusal states of the action over all its attempts.
 // An agent that refuses an action refuses every attempt of it, unless it could
-// not record that or the refusal is for another payload.
+// not record that, the refusal is for another payload, or only this attempt was
+// refused because it had not arrived.
 func actionOutcome(c msg.Code, o outcome.Outcome) outcome.Outcome {
 	switch c {
-	case msg.CodeLedgerFull, msg.CodePayload, msg.CodeTicket, msg.CodeBadRequest:
+	case msg.CodeLedgerFull, msg.CodePayload, msg.CodeTicket, msg.CodeBadRequest, msg.CodeUnknownAttempt:
 		return outcome.Unknown
 	}
 	return o
@@ -229,7 +247,9 @@
 
 // withdraw asks the agent to forget the attempt and reports what is certain.
 func (t *try) withdraw(code problem.Code, detail string) Result {
-	t.observe()
+	if !t.delivered {
+		t.observe()
+	}
 	unknown := problem.Unknownf(problem.OutcomeUnknown, "endpoint %q: %s", t.choice.Endpoint, detail)
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.WithdrawTimeout)
 	defer cancel()
@@ -240,7 +260,11 @@
 	}
 	t.record(t.call, "request.withdrawn", t.attempt, t.choice.Endpoint, string(verdict.State))
 	if verdict.State == msg.StateTombstoned && verdict.Incarnation == t.choice.Incarnation {
-		return Result{Outcome: outcome.NotRun, Problem: problem.Newf(code, "endpoint %q: %s", t.choice.Endpoint, detail)}
+		p := problem.Newf(code, "endpoint %q: %s", t.choice.Endpoint, detail)
+		if t.call.Action != "" {
+			p.ActionOutcome = verdict.Outcome
+		}
+		return Result{Outcome: outcome.NotRun, Problem: p}
 	}
 	return Result{Outcome: outcome.Unknown, Problem: unknown}
 }
--- a/entry/endpoints/select.go
+++ b/entry/endpoints/select.go
@@ -16,23 +16,51 @@
 	zone    id.Zone
 }
 
-// selectUsed returns all endpoints of the own zone and, of each service in each
-// other zone, those that rendezvous hashing selects for this host. The
-// connections of a node then do not grow with the size of other zones.
+// ranked is an endpoint with its place among those of its service.
+type ranked struct {
+	config.Endpoint
+	rank int
+}
+
+// selectUsed returns the endpoints that this host uses. Rendezvous hashing ranks
+// the endpoints of each service in each zone; the first ones are taken until the
+// bound is reached, those of the own zone before those of others. The
+// connections of a node then grow neither with its zone nor with the others.
 func (m *Manager) selectUsed(endpoints []config.Endpoint) []config.Endpoint {
-	var out []config.Endpoint
-	remote := make(map[placeKey][]config.Endpoint)
+	groups := make(map[placeKey][]config.Endpoint)
 	for _, e := range endpoints {
-		if e.Zone == m.config.Zone {
-			out = append(out, e)
-			continue
-		}
 		key := placeKey{service: e.Service, zone: e.Zone}
-		remote[key] = append(remote[key], e)
+		groups[key] = append(groups[key], e)
 	}
-	for _, group := range remote {
+	var all []ranked
+	for key, group := range groups {
 		slices.SortFunc(group, m.byScore)
-		out = append(out, group[:min(len(group), m.config.RemoteEndpoints)]...)
+		all = append(all, m.rank(key, group)...)
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
+		}
+		return m.byScore(a.Endpoint, b.Endpoint)
+	})
+	out := make([]config.Endpoint, 0, min(len(all), m.config.MaxEndpoints))
+	for _, e := range all[:min(len(all), m.config.MaxEndpoints)] {
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
+
+// rank numbers the endpoints of a group. Those of another zone come one place
+// later and only up to their bound.
+func (m *Manager) rank(key placeKey, group []config.Endpoint) []ranked {
+	offset := 0
+	if key.zone != m.config.Zone {
+		offset = 1
+		group = group[:min(len(group), m.config.RemoteEndpoints)]
+	}
+	out := make([]ranked, len(group))
+	for i, e := range group {
+		out[i] = ranked{Endpoint: e, rank: i + offset}
 	}
 	return out
 }
--- a/entry/endpoints/watcher.go
+++ b/entry/endpoints/watcher.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/wire/link"
 	"github.com/siskinford/siskinford/wire/msg"
@@ -92,10 +91,7 @@
 // returns whether one arrived.
 func (w *watcher) subscribe(conn *link.Conn) bool {
 	endpoint, _ := w.current()
-	interval := w.manager.config.ReportInterval
-	if endpoint.Zone != w.manager.config.Zone {
-		interval = w.manager.config.RemoteReportInterval
-	}
+	interval := w.manager.reportInterval(endpoint.Zone)
 	order := &msg.Order{Reports: &msg.ReportsOrder{Interval: interval.Microseconds()}}
 	receiver := &reportReceiver{watcher: w, endpoint: endpoint.Name}
 	call, err := conn.Send(order, receiver)
@@ -109,7 +105,7 @@
 		case <-w.ctx.Done():
 			return receiver.heard.Load()
 		case <-conn.Done():
-			w.manager.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: endpoint.Name})
+			w.manager.lost(endpoint.Name)
 			return receiver.heard.Load()
 		case <-w.changed:
 			w.sendDrain(conn)
@@ -132,14 +128,25 @@
 	watcher  *watcher
 	endpoint id.Endpoint
 	heard    atomic.Bool
+	// incarnation is that of the first report. Replies arrive on one goroutine.
+	incarnation id.Incarnation
 }
 
 func (r *reportReceiver) Reply(reply *msg.Reply) {
-	if reply.Report != nil {
+	report := reply.Report
+	switch {
+	case report == nil:
+		return
+	case r.incarnation == "" && report.Endpoint != r.endpoint:
+		return // another agent listens at the address
+	case r.incarnation == "":
+		r.incarnation = report.Incarnation
 		r.heard.Store(true)
-		r.watcher.manager.report(r.endpoint, reply.Report)
-		r.watcher.settle()
 	}
+	report.Endpoint = r.endpoint
+	report.Incarnation = r.incarnation
+	r.watcher.manager.report(r.endpoint, report)
+	r.watcher.settle()
 }
 
 func (r *reportReceiver) Lost(bool, error) {}
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -11,6 +11,8 @@
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
+	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/wire/link"
 )
@@ -37,6 +39,9 @@
 	// ReadyDelay is the time between the first failing answer of /readyz and the
 	// end of accepting connections at shutdown. Default: 0.
 	ReadyDelay time.Duration
+	// Admission refuses requests that cannot meet their deadline and holds teams
+	// to their share while others wait. Default: true.
+	Admission bool
 	// KeyRetention is the age at which an idempotency key made by a caller
 	// expires. It must be below the agents' retention of actions. Default: 30 min.
 	KeyRetention time.Duration
@@ -46,6 +51,8 @@
 	Caller    caller.Config
 	Dispatch  dispatch.Config
 	Endpoints endpoints.Config
+	Limits    limits.Config
+	Groups    groups.Config
 	Link      link.Config
 }
 
@@ -56,12 +63,15 @@
 		OperatorListen: "127.0.0.1:8081",
 		PeerListen:     "127.0.0.1:8082",
 		Policy:         route.PredictedTime,
+		Admission:      true,
 		KeyRetention:   30 * time.Minute,
 		Events:         20_000,
 		Operator:       operator.DefaultAPIConfig(),
 		Caller:         caller.DefaultConfig(),
 		Dispatch:       dispatch.DefaultConfig(),
 		Endpoints:      endpoints.DefaultConfig(),
+		Limits:         limits.DefaultConfig(),
+		Groups:         groups.DefaultConfig(),
 		Link:           link.DefaultConfig(),
 	}
 }
@@ -90,6 +100,8 @@
 	l.Merge("", c.Operator.Validate())
 	l.Merge("", c.Caller.Validate())
 	l.Merge("", c.Dispatch.Validate())
+	l.Merge("limit-", c.Limits.Validate())
+	l.Merge("", c.Groups.Validate())
 	l.Merge("", c.Link.Validate())
 	return l
 }
--- /dev/null
+++ b/entry/server/limits.go
@@ -0,0 +1,25 @@
+package server
+
+import (
+	"github.com/siskinford/siskinford/entry/limits"
+	"github.com/siskinford/siskinford/fleet/transport"
+)
+
+// connectLimits lets this entry exchange demands and grants with others.
+func (s *Server) connectLimits(mux *transport.Mux) error {
+	err := s.limits.Connect(limits.Deps{
+		Store: s.deps.Store, Members: s.node.members, Caller: mux.Caller(transport.Limits), Metrics: s.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	mux.Register(transport.Limits, s.limits.Handle)
+	return nil
+}
+
+// newLimits returns the enforcement of the teams' limits, without teams.
+func (s *Server) newLimits() (*limits.Limits, error) {
+	c := s.config.Limits
+	c.Zone = s.config.Zone
+	return limits.New(c)
+}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -18,9 +18,12 @@
 	"github.com/siskinford/siskinford/balance/route"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/entry/actions"
+	"github.com/siskinford/siskinford/entry/admission"
 	"github.com/siskinford/siskinford/entry/caller"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/entry/endpoints"
+	"github.com/siskinford/siskinford/entry/groups"
+	"github.com/siskinford/siskinford/entry/limits"
 	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
@@ -53,6 +56,9 @@
 	claims    *claim.Claimer
 	requests  *operator.Requests
 	operator  *operator.Service
+	admission *admission.Admitter
+	limits    *limits.Limits
+	groups    *groups.Manager
 	callers   *http.Server
 	operators *http.Server
 
@@ -78,6 +84,7 @@
 	s.events = s.requests.Record(timeline.Logged{Ring: d.Ring, Log: d.Log})
 	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
 	prefixes := prefix.NewIndex(prefix.Config{})
+	s.exposeTraffic("agents", s.pool)
 	s.table = route.NewTable(route.Config{Prefixes: prefixes})
 	picker, err := route.New(c.Policy, s.table)
 	if err != nil {
@@ -92,11 +99,20 @@
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
 		s.operator.Observe(n)
+		s.admission.Update(n.Teams(), n.Services())
+		s.limits.SetTeams(n.Teams())
+		s.groups.Update(n)
 	})
+	if s.limits, err = s.newLimits(); err != nil {
+		cancel()
+		return nil, err
+	}
+	s.groups = s.newGroups()
 	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
 		cancel()
 		return nil, err
 	}
+	s.admission = admission.New(admission.Deps{Zone: c.Zone, Picker: picker, Limiter: s.limits, Admission: c.Admission})
 	s.callers = s.newCallerServer(picker)
 	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
 	return s, nil
@@ -111,7 +127,7 @@
 	api := caller.New(s.config.Caller, caller.Deps{
 		Catalog:    s.catalog,
 		Dispatcher: dispatcher,
-		Admitter:   unlimited{},
+		Admitter:   s.admission,
 		Actions: actions.New(actions.Deps{
 			Zone: s.config.Zone, Picker: picker, Directory: s.endpoints, Pool: s.pool,
 			Claimer: actions.NewKeyClaimer(s.claims),
@@ -180,6 +196,7 @@
 	s.stopping.Store(true)
 	s.events.Record(timeline.Event{Kind: "entry.stopping"})
 	s.node.members.Leave()
+	s.groups.Close()
 	sleep(ctx, s.config.ReadyDelay)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
--- a/fleet/member/bench_test.go
+++ b/fleet/member/bench_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/platform"
-	"gotest.tools/v3/assert"
 )
 
 // epoch is the virtual time at which every bench starts.
--- a/fleet/member/runner.go
+++ b/fleet/member/runner.go
@@ -52,22 +52,26 @@
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
+	r.RunTicks(ctx, ticker.C)
+}
+
+// RunTicks is Run with ticks of the caller, which a test bench holds back while
+// the process is paused.
+func (r *Runner) RunTicks(ctx context.Context, ticks <-chan time.Time) {
 	defer r.calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.Step(ctx)
+		case <-ticks:
+			r.tick(ctx)
 		case o := <-r.pending:
 			r.send(ctx, o)
 		}
 	}
 }
 
-// Step ticks once and starts the calls that are due. Run calls it; a test bench
-// that pauses a process calls it in place of Run.
-func (r *Runner) Step(ctx context.Context) {
+func (r *Runner) tick(ctx context.Context) {
 	r.mu.Lock()
 	out := r.table.Tick(r.clock())
 	r.mu.Unlock()
@@ -76,9 +80,6 @@
 	}
 }
 
-// Wait blocks until all calls started by Step have ended.
-func (r *Runner) Wait() { r.calls.Wait() }
-
 // send starts a call, or drops the message if too many calls are open.
 func (r *Runner) send(ctx context.Context, o Outgoing) {
 	select {
--- a/fleet/rendezvous/rendezvous.go
+++ b/fleet/rendezvous/rendezvous.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/siskinford/siskinford/core/id"
 )
 
--- a/fleet/spread/message.go
+++ b/fleet/spread/message.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/platform"
@@ -67,7 +68,8 @@
 	return nil
 }
 
-func deflate(value []byte) ([]byte, error) {
+// Deflate packs a value for the way between entries.
+func Deflate(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
@@ -82,8 +84,8 @@
 	return b.Bytes(), nil
 }
 
-// inflate returns the value, or an error if it exceeds what the platform stores.
-func inflate(deflated []byte) ([]byte, error) {
+// Inflate returns a packed value, or an error if it exceeds what the platform stores.
+func Inflate(deflated []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(deflated))
 	value, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
 	if err != nil {
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -33,6 +33,8 @@
 	// Zones are used in turn for entries and agents. Default: lima-a.
 	Zones   []id.Zone
 	Entries int
+	// Teams is the number of teams. Default: 1.
+	Teams int
 	// Models and Plains are the numbers of endpoints of each service.
 	Models, Plains int
 	// NoProxy lets entries reach agents directly.
@@ -43,6 +45,8 @@
 	KeyDir string
 	// EngineArgs, PlainArgs, AgentArgs and EntryArgs are added to the command lines.
 	EngineArgs, PlainArgs, AgentArgs, EntryArgs []string
+	// Ranks describes the group of ranks, nil for none.
+	Ranks *RankOptions
 }
 
 // Endpoint is an agent with its back end. Entries reach the agent through Proxy.
@@ -81,6 +85,7 @@
 	Store       *platform.Client
 	Endpoints   []*Endpoint
 	Entries     []*Entry
+	Ranks       *Ranks
 }
 
 // certValidity is how long the certificates of a cluster are valid.
@@ -120,6 +125,9 @@
 	if c.Store, err = platform.NewClient(platform.ClientConfig{BaseURL: c.PlatformURL, Caller: "lab"}); err != nil {
 		return err
 	}
+	if err := c.startRanks(ctx); err != nil {
+		return err
+	}
 	for i := range c.options.Models {
 		if err := c.addEndpoint(ctx, ModelService, i); err != nil {
 			return err
@@ -182,6 +190,7 @@
 		return err
 	}
 	e.args = append([]string{"--endpoint=" + string(name), "--host=" + string(e.Config.Host), flag + e.BackendURL}, c.options.AgentArgs...)
+	c.addRanks(e, i)
 	address, err := c.startAgent(ctx, e)
 	if err != nil {
 		return err
@@ -225,7 +234,10 @@
 	for _, e := range c.Endpoints {
 		endpoints.Endpoints = append(endpoints.Endpoints, e.Config)
 	}
-	teams := config.TeamSet{Teams: []config.Team{{Name: Team, KeyHashes: []string{config.HashKey(TeamKey)}}}}
+	var teams config.TeamSet
+	for i := range max(c.options.Teams, 1) {
+		teams.Teams = append(teams.Teams, config.Team{Name: teamName(i), KeyHashes: []string{config.HashKey(c.TeamKey(i))}})
+	}
 	if err := c.Accept(ctx, config.KindServices, config.ServiceSet{Services: c.options.Services}, 0); err != nil {
 		return err
 	}
@@ -235,6 +247,21 @@
 	return c.Accept(ctx, config.KindEndpoints, endpoints, 0)
 }
 
+func teamName(i int) id.Team {
+	if i == 0 {
+		return Team
+	}
+	return id.Team(fmt.Sprintf("%s-%d", Team, i))
+}
+
+// TeamKey returns the API key of a team by its index.
+func (*Cluster) TeamKey(i int) string {
+	if i == 0 {
+		return TeamKey
+	}
+	return fmt.Sprintf("%s-%d", TeamKey, i)
+}
+
 // Accept writes a configuration against the version that was seen.
 func (c *Cluster) Accept(ctx context.Context, kind config.Kind, value any, seen uint64) error {
 	data, err := json.Marshal(value)
@@ -314,6 +341,9 @@
 
 func (c *Cluster) startEntry(ctx context.Context, e *Entry, callers, operators string) error {
 	args := append([]string{"--caller-listen=" + callers, "--operator-listen=" + operators}, e.args...)
+	if e.Peers != "" {
+		args = append(args, "--peer-listen="+e.Peers)
+	}
 	p, err := Start(string(e.Host), c.options.Binaries.Entry, args, e.env)
 	if err != nil {
 		return err
@@ -373,6 +403,9 @@
 			e.Proxy.Close()
 		}
 	}
+	if c.Ranks != nil {
+		kill(c.Ranks.Process)
+	}
 	if c.Store != nil {
 		c.Store.Close()
 	}
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -16,11 +16,17 @@
 type Config struct {
 	// DialTimeout bounds the time until a new connection is usable. Default: 1 s.
 	DialTimeout time.Duration
-	// ProbeInterval is the time between application probes of a client. Default: 500 ms.
+	// ProbeInterval is the time without any message after which a client sends
+	// an application probe, and the time between probes. Default: 500 ms.
 	ProbeInterval time.Duration
 	// SilenceTimeout is the time without any message after which a client
 	// abandons a connection. Default: 1.5 s.
 	SilenceTimeout time.Duration
+	// IdleProbeInterval and IdleSilenceTimeout replace ProbeInterval and
+	// SilenceTimeout while no call but a subscription is open. Defaults: 1.75 s
+	// and 2.75 s.
+	IdleProbeInterval  time.Duration
+	IdleSilenceTimeout time.Duration
 	// IdleTimeout is the time without any packet after which a listener closes
 	// a connection. Default: 10 s.
 	IdleTimeout time.Duration
@@ -54,15 +60,27 @@
 // DefaultConfig returns the defaults for connections within a region.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:    time.Second,
-		ProbeInterval:  500 * time.Millisecond,
-		SilenceTimeout: 1500 * time.Millisecond,
-		IdleTimeout:    10 * time.Second,
-		MaxQueuedBytes: 64 << 20,
-		WriterYields:   4,
+		DialTimeout:        time.Second,
+		ProbeInterval:      500 * time.Millisecond,
+		SilenceTimeout:     1500 * time.Millisecond,
+		IdleProbeInterval:  1750 * time.Millisecond,
+		IdleSilenceTimeout: 2750 * time.Millisecond,
+		IdleTimeout:        10 * time.Second,
+		MaxQueuedBytes:     64 << 20,
+		WriterYields:       4,
 	}
 }
 
+// PeerConfig returns the defaults for connections between entries. Membership
+// watches over them, so that idle ones are not probed.
+func PeerConfig() Config {
+	c := DefaultConfig()
+	c.IdleProbeInterval = 10 * time.Minute
+	c.IdleSilenceTimeout = time.Hour
+	c.IdleTimeout = 90 * time.Second
+	return c
+}
+
 // Validate reports all values out of range.
 func (c Config) Validate() finding.List {
 	var l finding.List
@@ -74,7 +92,12 @@
 	positive("dial-timeout", c.DialTimeout)
 	positive("probe-interval", c.ProbeInterval)
 	positive("silence-timeout", c.SilenceTimeout)
+	positive("idle-probe-interval", c.IdleProbeInterval)
+	positive("idle-silence-timeout", c.IdleSilenceTimeout)
 	positive("idle-timeout", c.IdleTimeout)
+	if c.IdleSilenceTimeout <= c.IdleProbeInterval {
+		l.Addf("idle-silence-timeout", "%v is not greater than the idle probe interval %v", c.IdleSilenceTimeout, c.IdleProbeInterval)
+	}
 	if c.SilenceTimeout <= c.ProbeInterval {
 		l.Addf("silence-timeout", "%v is not greater than the probe interval %v", c.SilenceTimeout, c.ProbeInterval)
 	}
--- a/wire/link/pool.go
+++ b/wire/link/pool.go
@@ -13,16 +13,21 @@
 	config Config
 	tls    func() *tls.Config
 	dials  singleflight.Group
+	// ctx ends dials in progress when the pool is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// mu is a leaf lock.
 	mu     sync.Mutex
 	conns  map[string]*Conn
+	ended  Traffic // of connections that have ended
 	closed bool
 }
 
 // NewPool returns a pool that dials with the TLS configuration that tls returns.
 func NewPool(c Config, tls func() *tls.Config) *Pool {
-	return &Pool{config: c, tls: tls, conns: make(map[string]*Conn)}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{config: c, tls: tls, ctx: ctx, cancel: cancel, conns: make(map[string]*Conn)}
 }
 
 // Existing returns the live connection to address, or nil.
@@ -54,7 +59,7 @@
 	if c := p.Existing(address); c != nil {
 		return c, nil
 	}
-	c, err := dial(context.Background(), address, p.tls(), p.config)
+	c, err := dial(p.ctx, address, p.tls(), p.config)
 	if err != nil {
 		return nil, err
 	}
@@ -73,13 +78,27 @@
 	<-c.Done()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended.add(c.traffic())
 	if p.conns[c.address] == c {
 		delete(p.conns, c.address)
 	}
 }
 
-// Close ends all connections.
+// Abandon closes the connection to address, if any, so that the next call of
+// Conn dials again. It does not block.
+func (p *Pool) Abandon(address string) {
+	p.mu.Lock()
+	c := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if c != nil {
+		go c.Close()
+	}
+}
+
+// Close ends all connections and dials.
 func (p *Pool) Close() {
+	p.cancel()
 	p.mu.Lock()
 	p.closed = true
 	conns := p.conns
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -28,6 +28,8 @@
 	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
 	// Stamp is the sender's hybrid logical clock. It is not set in probes.
 	Stamp *timeline.Stamp `cbor:"12,keyasint,omitempty"`
+	// Group is for the ranks on the agent's host.
+	Group *Group `cbor:"16,keyasint,omitempty"`
 }
 
 // Reply is a message from the listening side of a connection. Exactly one of the
@@ -42,18 +44,25 @@
 	Probe   *Probe   `cbor:"6,keyasint,omitempty"`
 	Peer    *Peer    `cbor:"7,keyasint,omitempty"`
 	Events  *Events  `cbor:"8,keyasint,omitempty"`
-	// Stamp is the sender's hybrid logical clock. It is not set in probes,
-	// reports and frames in the middle of an answer.
+	// Group is sent to each session that sent an order with Group, under the ID
+	// of the first one.
+	Group *Group `cbor:"16,keyasint,omitempty"`
+	// Stamp is the sender's hybrid logical clock; see Causal.
 	Stamp *timeline.Stamp `cbor:"9,keyasint,omitempty"`
 }
 
-// Causal reports whether the reply carries a stamp: frames in the middle of an
-// answer, reports and probes are left out, since there are many of them.
+// Causal reports whether the reply carries a stamp. Frames in the middle of an
+// answer, reports, states of groups and probes do not, since there are many of them.
 func (r *Reply) Causal() bool {
 	if r.Frame != nil {
 		return r.Frame.End != nil || r.Frame.Refused != nil || r.Frame.Head != nil
 	}
-	return r.Report == nil && r.Probe == nil
+	return r.Report == nil && r.Probe == nil && r.Group == nil
+}
+
+// Group carries an encoded groupmsg.Order to an agent, or a groupmsg.Status from it.
+type Group struct {
+	Payload []byte `cbor:"1,keyasint,omitempty"`
 }
 
 // Peer carries an encoded message of package fleet.
@@ -219,10 +228,12 @@
 	Attempt     id.Attempt     `cbor:"1,keyasint"`
 	Incarnation id.Incarnation `cbor:"2,keyasint"`
 	From        uint32         `cbor:"3,keyasint"`
-	// Team and Action are set for actions. If the attempt is unknown but its
-	// action is not, the frames of the action's attempt are sent.
-	Team   id.Team   `cbor:"4,keyasint,omitempty"`
-	Action id.Action `cbor:"5,keyasint,omitempty"`
+	// Team, Action and PayloadHash are set for actions. If the attempt is unknown
+	// but its action is known with this payload, the frames of the action's
+	// attempt are sent.
+	Team        id.Team   `cbor:"4,keyasint,omitempty"`
+	Action      id.Action `cbor:"5,keyasint,omitempty"`
+	PayloadHash uint64    `cbor:"6,keyasint,omitempty"`
 }
 
 // Withdraw cancels an attempt: before its start it is tombstoned, afterwards it
@@ -260,10 +271,12 @@
 
 // Verdict answers Withdraw and Inquire.
 type Verdict struct {
-	Incarnation id.Incarnation  `cbor:"1,keyasint"`
-	State       State           `cbor:"2,keyasint"`
-	Outcome     outcome.Outcome `cbor:"3,keyasint"`
-	Attempt     id.Attempt      `cbor:"4,keyasint,omitempty"`
+	Incarnation id.Incarnation `cbor:"1,keyasint"`
+	State       State          `cbor:"2,keyasint"`
+	// Outcome is that of the action over all its attempts, if the order named
+	// one, and otherwise that of the attempt.
+	Outcome outcome.Outcome `cbor:"3,keyasint"`
+	Attempt id.Attempt      `cbor:"4,keyasint,omitempty"`
 }
 
 // TicketOrder asks for a ticket for one action of a team.
@@ -288,8 +301,10 @@
 
 // Report is the state of one endpoint. It is sent at an interval and at once when Draining changes.
 type Report struct {
-	Endpoint    id.Endpoint    `cbor:"1,keyasint"`
-	Incarnation id.Incarnation `cbor:"2,keyasint"`
+	// Endpoint and Incarnation are set in the first report of a subscription and
+	// hold for the later ones.
+	Endpoint    id.Endpoint    `cbor:"1,keyasint,omitempty"`
+	Incarnation id.Incarnation `cbor:"2,keyasint,omitempty"`
 	// Seq counts the reports of an incarnation.
 	Seq      uint64 `cbor:"3,keyasint"`
 	Draining bool   `cbor:"4,keyasint,omitempty"`
