--- a/cmd/internal/programs/agent.go
+++ b/cmd/internal/programs/agent.go
@@ -20,7 +20,7 @@
 type Agent struct {
 	Gate gate.Config
 	Keys keys.Config
-	// Ranks are the ranks of a group on this host, if any.
+	// Ranks is the way to the ranks of a group on this host, if any.
 	Ranks ranklink.Config
 	// EngineURL or PlainURL is the base URL of the back end on this host.
 	EngineURL, PlainURL string
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -54,11 +54,11 @@
 	table     *route.Table
 	endpoints *endpoints.Manager
 	claims    *claim.Claimer
+	requests  *operator.Requests
+	operator  *operator.Service
 	admission *admission.Admitter
 	limits    *limits.Limits
 	groups    *groups.Manager
-	requests  *operator.Requests
-	operator  *operator.Service
 	callers   *http.Server
 	operators *http.Server
 
@@ -98,10 +98,10 @@
 	s.operator = s.newOperator()
 	s.holder = spread.NewHolder(func(n *config.Snapshot) {
 		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+		s.operator.Observe(n)
 		s.admission.Update(n.Teams(), n.Services())
 		s.limits.SetTeams(n.Teams())
 		s.groups.Update(n)
-		s.operator.Observe(n)
 	})
 	if s.limits, err = s.newLimits(); err != nil {
 		cancel()
--- a/wire/msg/msg.go
+++ b/wire/msg/msg.go
@@ -26,10 +26,10 @@
 	Peer *Peer `cbor:"10,keyasint,omitempty"`
 	// Events asks for events of the time line.
 	Events *EventsOrder `cbor:"11,keyasint,omitempty"`
-	// Group is for the ranks on the agent's host.
-	Group *Group `cbor:"16,keyasint,omitempty"`
 	// Stamp is the sender's hybrid logical clock. It is not set in probes.
 	Stamp *timeline.Stamp `cbor:"12,keyasint,omitempty"`
+	// Group is for the ranks on the agent's host.
+	Group *Group `cbor:"16,keyasint,omitempty"`
 }
 
 // Reply is a message from the listening side of a connection. Exactly one of the
@@ -47,23 +47,22 @@
 	// Group is sent to each session that sent an order with Group, under the ID
 	// of the first one.
 	Group *Group `cbor:"16,keyasint,omitempty"`
-	// Stamp is the sender's hybrid logical clock. It is not set in probes,
-	// reports and frames in the middle of an answer.
+	// Stamp is the sender's hybrid logical clock; see Causal.
 	Stamp *timeline.Stamp `cbor:"9,keyasint,omitempty"`
 }
 
-// Group carries an encoded groupmsg.Order to an agent, or a groupmsg.Status from it.
-type Group struct {
-	Payload []byte `cbor:"1,keyasint,omitempty"`
-}
-
-// Causal reports whether the reply carries a stamp: frames in the middle of an
-// answer, reports and probes are left out, since there are many of them.
+// Causal reports whether the reply carries a stamp. Frames in the middle of an
+// answer, reports, states of groups and probes do not, since there are many of them.
 func (r *Reply) Causal() bool {
 	if r.Frame != nil {
 		return r.Frame.End != nil || r.Frame.Refused != nil || r.Frame.Head != nil
 	}
-	return r.Report == nil && r.Probe == nil
+	return r.Report == nil && r.Probe == nil && r.Group == nil
+}
+
+// Group carries an encoded groupmsg.Order to an agent, or a groupmsg.Status from it.
+type Group struct {
+	Payload []byte `cbor:"1,keyasint,omitempty"`
 }
 
 // Peer carries an encoded message of package fleet.
