--- a/entry/endpoints/manager.go
+++ b/entry/endpoints/manager.go
@@ -243,15 +243,13 @@
 
 // lost takes an endpoint out of use whose connection has ended, until it reports again.
 func (m *Manager) lost(e id.Endpoint) {
-	m.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: e})
-	seen, ok := m.Last(e)
-	if !ok {
-		return
+	if seen, ok := m.Last(e); ok {
+		report := routeReport(&seen.Report)
+		report.Seq++
+		report.Healthy = false
+		m.table.Report(report, time.Now())
 	}
-	report := routeReport(&seen.Report)
-	report.Seq++
-	report.Healthy = false
-	m.table.Report(report, time.Now())
+	m.recorder.Record(timeline.Event{Kind: "endpoint.disconnected", Endpoint: e})
 }
 
 // report takes over a load report.
--- a/entry/hosts/hosts.go
+++ b/entry/hosts/hosts.go
@@ -131,13 +131,14 @@
 	if equal(w.leaving, next) {
 		return
 	}
+	before := w.leaving
+	w.leaving = next
+	w.deps.Leaving(next)
 	for h := range next {
-		if !w.leaving[h] {
+		if !before[h] {
 			w.deps.Recorder.Record(timeline.Event{Kind: "host.leaving", Detail: string(h)})
 		}
 	}
-	w.leaving = next
-	w.deps.Leaving(next)
 }
 
 func equal(a, b map[id.Host]bool) bool {
--- a/itest/leaving_test.go
+++ b/itest/leaving_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/core/id"
@@ -61,21 +62,32 @@
 	return a
 }
 
-// stops waits until a row of requests ran elsewhere and checks that none comes back.
-func (l *leaving) stops(ctx context.Context, t *testing.T, e *procs.Endpoint, what string) {
+// known waits until every entry has logged an event, and goes on sending meanwhile.
+func (l *leaving) known(ctx context.Context, t *testing.T, event, field, value string) {
 	t.Helper()
+	var waiting errgroup.Group
+	for _, e := range l.cluster.Entries {
+		waiting.Go(func() error { return e.Process.AwaitEventOf(ctx, event, field, value) })
+	}
+	done := make(chan error, 1)
+	go func() { done <- waiting.Wait() }()
 	begun := time.Now()
-	row := 0
-	before := l.runsAt(ctx, t, e)
-	await(ctx, t, what+" gets no new work", func() bool {
-		row++
-		a := l.send(ctx, t)
-		if now := l.runsAt(ctx, t, e); now != before || a.Outcome != outcome.Ran {
-			before, row = now, 0
+	for {
+		l.send(ctx, t)
+		select {
+		case err := <-done:
+			assert.NilError(t, err)
+			t.Logf("every entry knew %s of %s after %v", event, value, time.Since(begun))
+			return
+		default:
 		}
-		return row == quietRequests
-	})
-	t.Logf("%s: %d requests in a row ran elsewhere after %v", what, quietRequests, time.Since(begun))
+	}
+}
+
+// quiet checks that an endpoint starts none of the next requests.
+func (l *leaving) quiet(ctx context.Context, t *testing.T, e *procs.Endpoint, what string) {
+	t.Helper()
+	before := l.runsAt(ctx, t, e)
 	for range quietRequests {
 		l.send(ctx, t)
 	}
@@ -116,17 +128,20 @@
 	assert.Equal(t, l.runsAt(ctx, t, c.Endpoints[0]), drained, "a draining agent started a request")
 
 	assert.NilError(t, c.SetHosts(ctx, map[id.Host]bool{c.Endpoints[1].Config.Host: true}))
-	l.stops(ctx, t, c.Endpoints[1], "endpoint on a leaving host")
+	l.known(ctx, t, "host.leaving", "message", string(c.Endpoints[1].Config.Host))
+	l.quiet(ctx, t, c.Endpoints[1], "endpoint on a leaving host")
 
 	c.Endpoints[2].Agent.Freeze()
-	l.stops(ctx, t, c.Endpoints[2], "frozen endpoint")
+	l.known(ctx, t, "endpoint.disconnected", "endpoint", string(c.Endpoints[2].Config.Name))
+	l.quiet(ctx, t, c.Endpoints[2], "frozen endpoint")
 
 	assert.NilError(t, c.SetPlatformFaults(ctx, platform.Faults{Outage: platform.OutageRefuse}))
 	code, err := c.Endpoints[3].Agent.Stop(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, code, process.ExitOK)
-	l.stops(ctx, t, c.Endpoints[3], "stopped endpoint during an outage of the platform")
-	l.stops(ctx, t, c.Endpoints[1], "endpoint on a leaving host during an outage")
+	l.known(ctx, t, "endpoint.disconnected", "endpoint", string(c.Endpoints[3].Config.Name))
+	l.quiet(ctx, t, c.Endpoints[3], "stopped endpoint during an outage of the platform")
+	l.quiet(ctx, t, c.Endpoints[1], "endpoint on a leaving host during an outage")
 
 	c.Endpoints[2].Agent.Signal(syscall.SIGCONT)
 	ran := map[string]int{}
--- a/lab/procs/process.go
+++ b/lab/procs/process.go
@@ -121,6 +121,16 @@
 	return errors.Wrapf(err, "events %q", name)
 }
 
+// AwaitEventOf waits for a log line with the given event name that carries a
+// value in a field.
+func (p *Process) AwaitEventOf(ctx context.Context, name, field, value string) error {
+	err := p.awaitLine(ctx, func(line string) bool {
+		var e Event
+		return json.Unmarshal([]byte(line), &e) == nil && e.Text("event") == name && e.Text(field) == value
+	})
+	return errors.Wrapf(err, "event %q of %q", name, value)
+}
+
 // AwaitPrefix waits for a line with a prefix and returns the rest of the line.
 func (p *Process) AwaitPrefix(ctx context.Context, prefix string) (string, error) {
 	var rest string
