--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -82,40 +82,57 @@
 	s := &Server{config: c, deps: d, metrics: metrics.NewSet(), ctx: ctx, cancel: cancel}
 	s.requests = operator.NewRequests(operator.DefaultRequests, time.Now)
 	s.events = s.requests.Record(timeline.Logged{Ring: d.Ring, Log: d.Log})
-	s.pool = link.NewPool(c.Link, func() *tls.Config { return d.Keys.Client(keys.RoleAgent) })
-	prefixes := prefix.NewIndex(prefix.Config{})
-	s.exposeTraffic("agents", s.pool)
-	s.table = route.NewTable(route.Config{Prefixes: prefixes})
-	picker, err := route.New(c.Policy, s.table)
-	if err != nil {
+	s.holder = spread.NewHolder(s.configured)
+	if err := s.provision(); err != nil {
 		cancel()
 		return nil, err
 	}
-	endpointConfig := c.Endpoints
-	endpointConfig.Zone = c.Zone
-	endpointConfig.Host = c.Host
-	s.endpoints = endpoints.New(endpointConfig, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
+	return s, nil
+}
+
+// provision creates the parts of the entry in the order in which they depend on
+// each other.
+func (s *Server) provision() error {
+	c := s.config
+	s.newEndpoints()
 	s.operator = s.newOperator()
-	s.holder = spread.NewHolder(func(n *config.Snapshot) {
-		s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
-		s.operator.Observe(n)
-		s.admission.Update(n.Teams(), n.Services())
-		s.limits.SetTeams(n.Teams())
-		s.groups.Update(n)
-	})
+	s.groups = s.newGroups()
+	picker, err := route.New(c.Policy, s.table)
+	if err != nil {
+		return err
+	}
 	if s.limits, err = s.newLimits(); err != nil {
-		cancel()
-		return nil, err
+		return err
 	}
-	s.groups = s.newGroups()
-	if s.claims, err = claim.New(claim.Config{Store: d.Store, Retention: c.KeyRetention}); err != nil {
-		cancel()
-		return nil, err
+	if s.claims, err = claim.New(claim.Config{Store: s.deps.Store, Retention: c.KeyRetention}); err != nil {
+		return err
 	}
 	s.admission = admission.New(admission.Deps{Zone: c.Zone, Picker: picker, Limiter: s.limits, Admission: c.Admission})
 	s.callers = s.newCallerServer(picker)
 	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: c.Caller.ReadTimeout}
-	return s, nil
+	return nil
+}
+
+// newEndpoints creates the connections to agents and the routing table that
+// their reports feed.
+func (s *Server) newEndpoints() {
+	s.pool = link.NewPool(s.config.Link, func() *tls.Config { return s.deps.Keys.Client(keys.RoleAgent) })
+	s.exposeTraffic("agents", s.pool)
+	prefixes := prefix.NewIndex(prefix.Config{})
+	s.table = route.NewTable(route.Config{Prefixes: prefixes})
+	c := s.config.Endpoints
+	c.Zone = s.config.Zone
+	c.Host = s.config.Host
+	s.endpoints = endpoints.New(c, s.table, endpoints.PrefixSink{Index: prefixes}, s.pool, s.events)
+}
+
+// configured hands a new configuration to the parts that depend on it.
+func (s *Server) configured(n *config.Snapshot) {
+	s.endpoints.Update(n.Endpoints(), n.Version(config.KindEndpoints))
+	s.operator.Observe(n)
+	s.admission.Update(n.Teams(), n.Services())
+	s.limits.SetTeams(n.Teams())
+	s.groups.Update(n)
 }
 
 func (s *Server) newCallerServer(picker route.Picker) *http.Server {
