--- a/balance/route/sim_test.go
+++ b/balance/route/sim_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/siskinford/siskinford/balance/retry"
 	"github.com/siskinford/siskinford/balance/route"
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/core/outcome"
 )
 
 // The model below runs in virtual time: endpoints with slots and a FIFO queue,
@@ -103,31 +101,6 @@
 	return last
 }
 
-// backend is one endpoint.
-type backend struct {
-	route.Endpoint
-	index   int
-	step    time.Duration
-	lost    bool
-	failing bool
-	queue   []*run
-	queued  uint64 // tokens of the queue
-	running map[*run]bool
-	cached  []uint64 // oldest first
-	events  []prefix.Event
-	seq     uint64
-	reports uint64
-}
-
-// run is one attempt at an endpoint.
-type run struct {
-	job   *job
-	entry *frontend
-	c     route.Choice
-	sent  time.Duration
-	ends  time.Duration
-}
-
 // frontend is one entry.
 type frontend struct {
 	zone   id.Zone
@@ -248,83 +221,11 @@
 	s.frontends = append(s.frontends, f)
 }
 
-// meanService is the mean time that a request occupies a slot.
-func (s *sim) meanService() time.Duration {
-	answer := simMeanAnswer
-	if s.heavy {
-		answer *= 1 + 0.03*49
-	}
-	return time.Duration((1 + simMeanBlocks*simBlock/simPrefill + answer) * float64(simStep))
-}
-
 const (
 	simMeanAnswer = 32.0
 	simMeanBlocks = 8.0
 )
 
-func (s *sim) capacity() float64 { // requests per second
-	return 16 * simSlots / s.meanService().Seconds()
-}
-
-func (s *sim) arrive() {
-	if s.now >= s.duration {
-		return
-	}
-	rate := s.capacity() * s.load(s.now)
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.arrive)
-	j := &job{arrived: s.now, deadline: s.now + s.deadline, answer: 4 + int(s.rng.ExpFloat64()*(simMeanAnswer-4))}
-	if s.heavy && s.rng.IntN(100) < 3 {
-		j.answer *= 50
-	}
-	j.team = s.pickTeam()
-	j.prompt = s.prompt()
-	s.result.arrivals++
-	s.try(s.pickEntry(), j)
-}
-
-// pickEntry draws an entry in the zone of a random endpoint, so that the
-// zones' loads relate as their capacities, or any entry if they shall not.
-func (s *sim) pickEntry() *frontend {
-	for {
-		f := s.frontends[s.rng.IntN(len(s.frontends))]
-		if s.lostZone == f.zone && s.now >= s.duration/2 {
-			continue
-		}
-		if s.uneven || f.zone == s.backends[s.rng.IntN(len(s.backends))].Zone {
-			return f
-		}
-	}
-}
-
-// pickTeam draws a team by its part.
-func (s *sim) pickTeam() id.Team {
-	x := s.rng.Float64()
-	for _, t := range s.teams {
-		if x -= t.part; x < 0 {
-			return t.name
-		}
-	}
-	return s.teams[0].name
-}
-
-// prompt returns 8 blocks on average. With prefix reuse 4 of 5 prompts continue
-// one of 48 long conversations.
-func (s *sim) prompt() []uint64 {
-	if s.prefixes && s.rng.IntN(5) > 0 {
-		talk := uint64(s.rng.IntN(48))
-		blocks := make([]uint64, 8+s.rng.IntN(16))
-		for i := range blocks {
-			blocks[i] = talk<<16 + uint64(i) + 1
-		}
-		return blocks
-	}
-	blocks := make([]uint64, 4+s.rng.IntN(9))
-	for i := range blocks {
-		blocks[i] = s.rng.Uint64()
-	}
-	return blocks
-}
-
 func (s *sim) try(f *frontend, j *job) {
 	c, err := f.picker.Pick(route.Request{
 		Service: simService, Zone: f.zone, Work: j.work(), PromptBlocks: j.prompt, Exclude: j.tried, Now: s.clock(),
@@ -362,198 +263,3 @@
 	}
 	return simCrossZone
 }
-
-func (s *sim) backend(e id.Endpoint) *backend {
-	i := slices.IndexFunc(s.backends, func(b *backend) bool { return b.Name == e })
-	return s.backends[i]
-}
-
-func (s *sim) receive(b *backend, r *run) {
-	switch {
-	case b.lost:
-		s.after(simGiveUp, func() { s.lose(r) })
-	case b.failing:
-		s.after(s.distance(r.entry, r.c), func() { s.refuse(r) })
-	default:
-		b.queue = append(b.queue, r)
-		b.queued += uint64(r.job.work())
-		s.start(b)
-	}
-}
-
-func (s *sim) lose(r *run) {
-	r.entry.table.Failed(r.c, s.clock())
-	r.entry.table.Finished(r.c, s.clock())
-	s.result.failed++
-}
-
-// refuse handles an endpoint's refusal, which is known as not run.
-func (s *sim) refuse(r *run) {
-	r.entry.table.Finished(r.c, s.clock())
-	r.entry.table.Failed(r.c, s.clock())
-	r.job.tried = append(r.job.tried, r.c.Endpoint)
-	if !s.budget {
-		s.after(0, func() { s.try(r.entry, r.job) })
-		return
-	}
-	delay, ok := r.entry.budget.Decide(retry.Attempt{
-		Outcome: outcome.NotRun, Tries: r.job.tries, Deadline: simEpoch.Add(r.job.deadline), Now: s.clock(),
-	})
-	if !ok {
-		s.result.failed++
-		return
-	}
-	s.after(delay, func() { s.try(r.entry, r.job) })
-}
-
-// start fills the free slots of an endpoint.
-func (s *sim) start(b *backend) {
-	for len(b.queue) > 0 && len(b.running) < simSlots {
-		r := b.queue[0]
-		b.queue = b.queue[1:]
-		b.queued -= uint64(r.job.work())
-		b.running[r] = true
-		hit := b.hit(r.job.prompt)
-		s.result.cached += hit
-		s.result.blocks += len(r.job.prompt)
-		steps := 1 + (len(r.job.prompt)-hit)*simBlock/simPrefill
-		first := time.Duration(steps) * b.step
-		r.ends = s.now + first + time.Duration(r.job.answer)*b.step
-		s.after(first, func() { s.first(b, r) })
-		s.after(r.ends-s.now, func() { s.end(b, r) })
-	}
-}
-
-func (s *sim) first(b *backend, r *run) {
-	b.store(r.job.prompt)
-	if b.lost {
-		return
-	}
-	s.after(s.distance(r.entry, r.c), func() {
-		seen := s.now - r.sent
-		r.entry.table.Observe(r.c, seen, s.clock())
-		r.entry.admit.Observe(r.c.Expected, seen, s.clock())
-		total := s.now - r.job.arrived
-		s.result.first = append(s.result.first, total)
-		if s.now <= r.job.deadline {
-			s.result.good++
-		}
-		if s.now < s.duration {
-			s.result.served++
-			s.result.teamWork[r.job.team] += float64(r.job.answer)
-		}
-	})
-}
-
-func (s *sim) end(b *backend, r *run) {
-	delete(b.running, r)
-	if b.lost {
-		s.after(simGiveUp, func() { r.entry.table.Finished(r.c, s.clock()) })
-		return
-	}
-	s.after(s.distance(r.entry, r.c), func() { r.entry.table.Finished(r.c, s.clock()) })
-	s.start(b)
-}
-
-func (s *sim) loseZone() {
-	for _, b := range s.backends {
-		if b.Zone != s.lostZone {
-			continue
-		}
-		b.lost = true
-		for _, r := range b.queue {
-			s.after(simGiveUp, func() { s.lose(r) })
-		}
-		b.queue = nil
-	}
-}
-
-const simCacheBlocks = 256
-
-func (b *backend) hit(prompt []uint64) int {
-	n := 0
-	for n < len(prompt) && slices.Contains(b.cached, prompt[n]) {
-		n++
-	}
-	return n
-}
-
-// store caches the blocks of a prompt and evicts the least recently used ones.
-func (b *backend) store(prompt []uint64) {
-	for i := len(prompt) - 1; i >= 0; i-- {
-		block := prompt[i]
-		if at := slices.Index(b.cached, block); at >= 0 {
-			b.cached = slices.Delete(b.cached, at, at+1)
-		} else {
-			b.event(prefix.Event{Block: block})
-		}
-		b.cached = append(b.cached, block)
-	}
-	for len(b.cached) > simCacheBlocks {
-		b.event(prefix.Event{Block: b.cached[0], Evicted: true})
-		b.cached = b.cached[1:]
-	}
-}
-
-func (b *backend) event(e prefix.Event) {
-	b.seq++
-	e.Seq = b.seq
-	b.events = append(b.events, e)
-}
-
-// report sends the load and the cache events to all entries.
-func (s *sim) report(b *backend) {
-	if s.now > s.duration+10*time.Second || b.lost {
-		return
-	}
-	s.after(simReportEvery, func() { s.report(b) })
-	b.reports++
-	r := route.Report{
-		Endpoint: b.Name, Incarnation: "i", Seq: b.reports, Healthy: true, Slots: simSlots, StepTime: b.step,
-		Queued: uint32(len(b.queue)), QueuedTokens: b.queued, Running: uint32(len(b.running)), Age: s.lag,
-	}
-	if s.hidden {
-		r.StepTime = simStep
-	}
-	for q := range b.running {
-		r.RunningTokens += uint64(max(q.ends-s.now, 0) / b.step)
-	}
-	if b.index == s.liar {
-		r.Queued, r.Running, r.QueuedTokens, r.RunningTokens = 0, 0, 0, 0
-	}
-	changes := b.events
-	b.events = nil
-	for _, f := range s.frontends {
-		if s.rng.Float64() < s.lostPart {
-			continue
-		}
-		lost := s.gaps && s.rng.IntN(50) == 0
-		s.after(s.lag+simNetwork, func() {
-			f.table.Report(r, s.clock())
-			if !lost && !f.index.Apply(b.Name, "i", changes) && len(changes) > 0 {
-				s.resync(f, b)
-			}
-		})
-	}
-}
-
-// resync sends the whole cache to an entry that missed events.
-func (s *sim) resync(f *frontend, b *backend) {
-	s.after(time.Second, func() {
-		seq := b.seq - uint64(len(b.events))
-		f.index.Snapshot(b.Name, "i", seq, b.cached)
-	})
-}
-
-func constant(x float64) func(time.Duration) float64 {
-	return func(time.Duration) float64 { return x }
-}
-
-// swing rises by a factor of 4 within 2 s and falls again.
-func swing(low float64, rise, length time.Duration) func(time.Duration) float64 {
-	return func(t time.Duration) float64 {
-		up := float64(t-rise) / float64(2*time.Second)
-		down := float64(rise+length-t) / float64(2*time.Second)
-		return low * (1 + 3*math.Max(0, math.Min(1, math.Min(up, down))))
-	}
-}
