--- a/fleet/claim/bench_test.go
+++ b/fleet/claim/bench_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 // writeLatency is the time that a write of latentStore takes.
@@ -26,7 +26,7 @@
 	writes, bytes atomic.Int64
 }
 
-func (s *latentStore) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s *latentStore) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	s.writes.Add(1)
 	s.bytes.Add(int64(len(o.Value)))
 	<-time.After(writeLatency)
@@ -115,7 +115,7 @@
 	return func(r claim.Request) error {
 		hash := claim.HashKey(r.Team, r.Service, r.Key)
 		value := fmt.Appendf(nil, "%s %s %x", r.Target.Endpoint, r.Target.Incarnation, r.Payload)
-		_, err := store.Put(context.Background(), platform.Object{Kind: "claim", Name: string(hash.Action()), Value: value})
+		_, err := store.Put(context.Background(), objectapi.Object{Kind: "claim", Name: string(hash.Action()), Value: value})
 		return err
 	}
 }
--- a/fleet/claim/claim.go
+++ b/fleet/claim/claim.go
@@ -23,13 +23,13 @@
 
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // Config configures a Claimer.
 type Config struct {
 	// Store is the platform. Required.
-	Store platform.Store
+	Store objectapi.Store
 	// Shards is the number of shards, the same in all processes for good. Default: 4.
 	Shards int
 	// Retention is the age at which a key expires. Default: 1 h.
@@ -57,7 +57,7 @@
 	defaultRetention    = time.Hour
 	defaultMaxSkew      = 10 * time.Second
 	defaultSegmentBytes = 16 << 10
-	maxSegmentBytes     = platform.MaxValueBytes / 2
+	maxSegmentBytes     = objectapi.MaxValueBytes / 2
 	defaultSegmentAge   = 5 * time.Minute
 	defaultTimeout      = 500 * time.Millisecond
 	defaultFlushTimeout = 5 * time.Second
--- a/fleet/claim/claim_test.go
+++ b/fleet/claim/claim_test.go
@@ -15,14 +15,14 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 // hookStore calls its hooks before writes and reads, and counts both.
 type hookStore struct {
 	*memstore.Store
-	put    func(o platform.Object) error
+	put    func(o objectapi.Object) error
 	list   func() error
 	writes atomic.Int64
 	bytes  atomic.Int64
@@ -30,18 +30,18 @@
 
 func newHookStore() *hookStore { return &hookStore{Store: memstore.New(memstore.Config{})} }
 
-func (h *hookStore) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (h *hookStore) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	h.writes.Add(1)
 	h.bytes.Add(int64(len(o.Value)))
 	if h.put != nil {
 		if err := h.put(o); err != nil {
-			return platform.Object{}, err
+			return objectapi.Object{}, err
 		}
 	}
 	return h.Store.Put(ctx, o)
 }
 
-func (h *hookStore) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+func (h *hookStore) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
 	if h.list != nil {
 		if err := h.list(); err != nil {
 			return nil, 0, err
@@ -62,7 +62,7 @@
 func (c *handClock) now() time.Time          { return time.UnixMilli(c.ms.Load()) }
 func (c *handClock) advance(d time.Duration) { c.ms.Add(d.Milliseconds()) }
 
-func newClaimer(t *testing.T, store platform.Store, clock *handClock, change func(*claim.Config)) *claim.Claimer {
+func newClaimer(t *testing.T, store objectapi.Store, clock *handClock, change func(*claim.Config)) *claim.Claimer {
 	t.Helper()
 	cfg := claim.Config{Store: store, Shards: 1, Timeout: time.Minute, FlushTimeout: time.Minute, Now: clock.now}
 	if change != nil {
@@ -183,7 +183,7 @@
 
 func TestOutageAnswersAtOnce(t *testing.T) {
 	clock, store, ctx := newHandClock(), newHookStore(), context.Background()
-	store.list = func() error { return &platform.UnavailableError{Cause: errors.New("outage")} }
+	store.list = func() error { return &objectapi.UnavailableError{Cause: errors.New("outage")} }
 	c := newClaimer(t, store, clock, nil)
 	k := keys(1, clock.now())[0]
 	_, err := c.Claim(ctx, request(k, "e1"))
@@ -204,7 +204,7 @@
 	_, err := c.Claim(ctx, request(k[0], "e1"))
 	assert.NilError(t, err)
 	reached, release := make(chan struct{}), make(chan struct{})
-	store.put = func(platform.Object) error {
+	store.put = func(objectapi.Object) error {
 		reached <- struct{}{}
 		<-release
 		return nil
@@ -283,7 +283,7 @@
 	assert.NilError(t, err)
 	reached, release := make(chan struct{}), make(chan struct{})
 	var once sync.Once
-	paused.put = func(o platform.Object) error {
+	paused.put = func(o objectapi.Object) error {
 		if strings.HasSuffix(o.Name, "02") {
 			once.Do(func() {
 				close(reached)
--- a/fleet/claim/expire.go
+++ b/fleet/claim/expire.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // Expire seals segments past their age and deletes those whose keys are all
@@ -51,7 +51,7 @@
 }
 
 // sealOld seals the active segment if its first claim is past the age.
-func (s *shard) sealOld(ctx context.Context, o platform.Object) error {
+func (s *shard) sealOld(ctx context.Context, o objectapi.Object) error {
 	if o.Version == 0 {
 		return nil
 	}
@@ -74,12 +74,12 @@
 // nextFloor returns the number of the oldest segment with a key that may be
 // unexpired on some clock. A key is at most MaxSkew younger than its claim, and
 // the clock of another process at most MaxSkew behind.
-func (s *shard) nextFloor(h head, objects map[string]platform.Object) (uint64, error) {
+func (s *shard) nextFloor(h head, objects map[string]objectapi.Object) (uint64, error) {
 	keep := s.claimer.cfg.Retention + 2*s.claimer.cfg.MaxSkew
 	for number := h.Floor; number < h.Active; number++ {
 		o, ok := objects[segmentName(number)]
 		if !ok {
-			return 0, &platform.NotFoundError{Kind: s.kind, Name: segmentName(number)}
+			return 0, &objectapi.NotFoundError{Kind: s.kind, Name: segmentName(number)}
 		}
 		seg, err := decodeSegment(o.Value)
 		if err != nil {
@@ -93,14 +93,14 @@
 }
 
 // deleteBelow deletes the segments below the floor, those left by an earlier call too.
-func (s *shard) deleteBelow(ctx context.Context, floor uint64, objects map[string]platform.Object) error {
+func (s *shard) deleteBelow(ctx context.Context, floor uint64, objects map[string]objectapi.Object) error {
 	for name, o := range objects {
 		number, err := strconv.ParseUint(name, 10, 64)
 		if err != nil || number >= floor {
 			continue
 		}
 		err = s.claimer.cfg.Store.Delete(ctx, s.kind, name, o.Version)
-		var notFound *platform.NotFoundError
+		var notFound *objectapi.NotFoundError
 		if err := ignoreConflict(err); err != nil && !errors.As(err, &notFound) {
 			return err
 		}
--- a/fleet/claim/history_test.go
+++ b/fleet/claim/history_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 var (
@@ -36,7 +36,7 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	delayed []platform.Object
+	delayed []objectapi.Object
 	// current makes reads show what is stored, never an older version.
 	current bool
 }
@@ -57,7 +57,7 @@
 // deliver applies a delayed write at a random later time.
 func (f *faultyStore) deliver() {
 	f.mu.Lock()
-	var o platform.Object
+	var o objectapi.Object
 	due := len(f.delayed) > 0 && f.random.IntN(3) == 0
 	if due {
 		o, f.delayed = f.delayed[0], f.delayed[1:]
@@ -68,34 +68,34 @@
 	}
 }
 
-func (f *faultyStore) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (f *faultyStore) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	f.yieldSome()
 	f.deliver()
-	unknown := &platform.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: errors.New("answer lost")}
+	unknown := &objectapi.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: errors.New("answer lost")}
 	switch r := f.roll(); {
 	case r < 8: // the answer is lost after the effect
 		_, _ = f.Store.Put(ctx, o)
-		return platform.Object{}, unknown
+		return objectapi.Object{}, unknown
 	case r < 12: // the write is lost
-		return platform.Object{}, unknown
+		return objectapi.Object{}, unknown
 	case r < 20: // the write arrives later
 		f.mu.Lock()
 		f.delayed = append(f.delayed, o)
 		f.mu.Unlock()
-		return platform.Object{}, unknown
+		return objectapi.Object{}, unknown
 	case r < 23:
-		return platform.Object{}, &platform.UnavailableError{Cause: errors.New("outage")}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errors.New("outage")}
 	}
 	written, err := f.Store.Put(ctx, o)
 	f.yieldSome()
 	return written, err
 }
 
-func (f *faultyStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (f *faultyStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	f.yieldSome()
 	switch r := f.roll(); {
 	case r < 4:
-		return platform.Object{}, &platform.UnavailableError{Cause: errors.New("outage")}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errors.New("outage")}
 	case r < 12 && !f.current:
 		return f.GetEarlier(ctx, kind, name, 1+r%3)
 	}
--- a/fleet/claim/route_test.go
+++ b/fleet/claim/route_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/rendezvous"
 )
 
@@ -56,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			clock, store := newHandClock(), newHookStore()
 			if c.down {
-				store.list = func() error { return &platform.UnavailableError{Cause: errors.New("outage")} }
+				store.list = func() error { return &objectapi.UnavailableError{Cause: errors.New("outage")} }
 			}
 			hosts := []id.Host{owner}
 			picked, ok := rendezvous.First("claims-0000", hosts)
--- a/fleet/claim/shard.go
+++ b/fleet/claim/shard.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // pending is a claim or lookup that waits for its answer.
@@ -55,8 +55,10 @@
 	mu      sync.Mutex // leaf lock
 	waiting []*pending
 	running bool
-	// since is when the present batch was begun.
-	since time.Time
+	// since is when the present batch was begun, and unanswered the number of its
+	// claims that wait for their answer.
+	since      time.Time
+	unanswered int
 }
 
 // enqueue adds p to the next batch. It does not block.
@@ -66,7 +68,7 @@
 	switch {
 	case s.claimer.ctx.Err() != nil:
 		return &UnavailableError{Cause: errClosed}
-	case s.running && s.claimer.cfg.Now().Sub(s.since) > s.claimer.cfg.Timeout:
+	case s.unanswered > 0 && s.claimer.cfg.Now().Sub(s.since) > s.claimer.cfg.Timeout:
 		return &UnavailableError{Cause: errStuck}
 	case len(s.waiting) >= maxWaiting:
 		return &UnavailableError{Cause: errFull}
@@ -112,7 +114,7 @@
 	defer s.mu.Unlock()
 	batch := s.waiting
 	s.waiting = nil
-	s.running = len(batch) > 0
+	s.running, s.unanswered = len(batch) > 0, len(batch)
 	s.since = s.claimer.cfg.Now()
 	return batch
 }
@@ -148,7 +150,7 @@
 }
 
 func isUnavailable(err error) bool {
-	var unavailable *platform.UnavailableError
+	var unavailable *objectapi.UnavailableError
 	return errors.As(err, &unavailable)
 }
 
@@ -233,6 +235,7 @@
 func (s *shard) answer(p *pending, r Result, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unanswered--
 	p.done <- answer{result: r, err: err}
 }
 
@@ -285,8 +288,8 @@
 
 // isDefinite reports an error after which the write cannot take effect.
 func isDefinite(err error) bool {
-	var conflict *platform.ConflictError
-	var tooLarge *platform.ValueTooLargeError
+	var conflict *objectapi.ConflictError
+	var tooLarge *objectapi.ValueTooLargeError
 	return isUnavailable(err) || errors.As(err, &conflict) || errors.As(err, &tooLarge)
 }
 
--- a/fleet/claim/view.go
+++ b/fleet/claim/view.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // headName is the name of a shard's head object.
@@ -73,10 +73,10 @@
 			return err
 		}
 	}
-	v, err := s.assemble(&view{}, func(name string) (platform.Object, error) {
+	v, err := s.assemble(&view{}, func(name string) (objectapi.Object, error) {
 		o, ok := objects[name]
 		if !ok {
-			return platform.Object{}, &platform.NotFoundError{Kind: s.kind, Name: name}
+			return objectapi.Object{}, &objectapi.NotFoundError{Kind: s.kind, Name: name}
 		}
 		return o, nil
 	})
@@ -87,12 +87,12 @@
 	return nil
 }
 
-func (s *shard) list(ctx context.Context) (map[string]platform.Object, error) {
+func (s *shard) list(ctx context.Context) (map[string]objectapi.Object, error) {
 	objects, _, err := s.claimer.cfg.Store.List(ctx, s.kind)
 	if err != nil {
 		return nil, err
 	}
-	byName := make(map[string]platform.Object, len(objects))
+	byName := make(map[string]objectapi.Object, len(objects))
 	for _, o := range objects {
 		byName[o.Name] = o
 	}
@@ -109,7 +109,7 @@
 }
 
 func ignoreConflict(err error) error {
-	var conflict *platform.ConflictError
+	var conflict *objectapi.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -121,21 +121,21 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.claimer.cfg.Store.Put(ctx, platform.Object{Kind: s.kind, Name: segmentName(number), Value: value})
+	_, err = s.claimer.cfg.Store.Put(ctx, objectapi.Object{Kind: s.kind, Name: segmentName(number), Value: value})
 	return ignoreConflict(err)
 }
 
-func (s *shard) putHead(ctx context.Context, h head, version uint64) (platform.Object, error) {
+func (s *shard) putHead(ctx context.Context, h head, version uint64) (objectapi.Object, error) {
 	value, err := cbor.Marshal(h)
 	if err != nil {
-		return platform.Object{}, errors.Wrap(err, "claim head cannot be encoded")
+		return objectapi.Object{}, errors.Wrap(err, "claim head cannot be encoded")
 	}
-	return s.claimer.cfg.Store.Put(ctx, platform.Object{Kind: s.kind, Name: headName, Version: version, Value: value})
+	return s.claimer.cfg.Store.Put(ctx, objectapi.Object{Kind: s.kind, Name: headName, Version: version, Value: value})
 }
 
 // reload reads the head, the active segment and the sealed segments that the view lacks.
 func (s *shard) reload(ctx context.Context) error {
-	v, err := s.assemble(s.view, func(name string) (platform.Object, error) {
+	v, err := s.assemble(s.view, func(name string) (objectapi.Object, error) {
 		return s.claimer.cfg.Store.Get(ctx, s.kind, name)
 	})
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // assemble builds a view from objects, with what old has already. An answer
 // older than old is refused, since the platform may show older versions.
-func (s *shard) assemble(old *view, get func(name string) (platform.Object, error)) (*view, error) {
+func (s *shard) assemble(old *view, get func(name string) (objectapi.Object, error)) (*view, error) {
 	o, err := get(headName)
 	if err != nil {
 		return nil, err
@@ -178,7 +178,7 @@
 func (p position) before(q position) bool { return q.after(p) }
 
 // sealedSegment returns a segment that must be sealed, from the view or the platform.
-func (v *view) sealedSegment(number uint64, get func(name string) (platform.Object, error)) (*segment, error) {
+func (v *view) sealedSegment(number uint64, get func(name string) (objectapi.Object, error)) (*segment, error) {
 	if s, ok := v.sealed[number]; ok {
 		return s, nil
 	}
@@ -207,7 +207,7 @@
 		return err
 	}
 	v := s.view
-	written, err := s.claimer.cfg.Store.Put(ctx, platform.Object{
+	written, err := s.claimer.cfg.Store.Put(ctx, objectapi.Object{
 		Kind: s.kind, Name: segmentName(v.head.Active), Version: v.version, Value: value,
 	})
 	if err == nil {
@@ -215,7 +215,7 @@
 		return nil
 	}
 	v.stale = true
-	var conflict *platform.ConflictError
+	var conflict *objectapi.ConflictError
 	if errors.As(err, &conflict) {
 		v.takeWinner(conflict.Current)
 	}
@@ -223,7 +223,7 @@
 }
 
 // takeWinner replaces the active segment by the one that won a conditional update.
-func (v *view) takeWinner(o platform.Object) {
+func (v *view) takeWinner(o objectapi.Object) {
 	if o.Version <= v.version {
 		return
 	}
--- a/fleet/config/accept.go
+++ b/fleet/config/accept.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/core/finding"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // Envelope is what the platform holds for a kind of configuration.
@@ -72,7 +72,7 @@
 // Accept validates a change by itself and against the other kinds and commits
 // it by a conditional update. A nil error means that it is committed. The error
 // is a finding.List, a *LostRaceError or one of the platform's. It blocks on the store.
-func Accept(ctx context.Context, store platform.Store, c Change) (Accepted, error) {
+func Accept(ctx context.Context, store objectapi.Store, c Change) (Accepted, error) {
 	set, err := Decode(c.Kind, c.Value)
 	if err != nil {
 		return Accepted{}, err
@@ -88,19 +88,19 @@
 	if err != nil {
 		return Accepted{}, errors.Wrap(err, "configuration envelope cannot be encoded")
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectapi.MaxValueBytes {
 		var l finding.List
-		l.Addf("", "the stored value has %d bytes, the limit is %d", len(value), platform.MaxValueBytes)
+		l.Addf("", "the stored value has %d bytes, the limit is %d", len(value), objectapi.MaxValueBytes)
 		return Accepted{}, l.Err()
 	}
 	return commit(ctx, store, c, value)
 }
 
-func commit(ctx context.Context, store platform.Store, c Change, value []byte) (Accepted, error) {
-	written, err := store.Put(ctx, platform.Object{
+func commit(ctx context.Context, store objectapi.Store, c Change, value []byte) (Accepted, error) {
+	written, err := store.Put(ctx, objectapi.Object{
 		Kind: ObjectKind, Name: string(c.Kind), Version: c.SeenVersion, Value: value,
 	})
-	var conflict *platform.ConflictError
+	var conflict *objectapi.ConflictError
 	if errors.As(err, &conflict) {
 		return Accepted{}, lostRace(c, conflict.Current)
 	}
@@ -110,7 +110,7 @@
 	return Accepted{Kind: c.Kind, Version: written.Version}, nil
 }
 
-func lostRace(c Change, current platform.Object) error {
+func lostRace(c Change, current objectapi.Object) error {
 	e := &LostRaceError{Kind: c.Kind, Seen: c.SeenVersion, Version: current.Version}
 	if envelope, err := DecodeEnvelope(current.Value); err == nil {
 		e.Writer, e.WrittenAt = envelope.Writer, envelope.WrittenAt
@@ -120,7 +120,7 @@
 
 // load reads the configurations of all kinds. A stored value of the changed kind
 // that cannot be read does not block the change that mends it.
-func load(ctx context.Context, store platform.Store, changed Kind) (*Snapshot, error) {
+func load(ctx context.Context, store objectapi.Store, changed Kind) (*Snapshot, error) {
 	objects, _, err := store.List(ctx, ObjectKind)
 	if err != nil {
 		return nil, err
--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 const (
@@ -51,7 +51,7 @@
 		"not an object": {config.KindServices, `[]`, []string{"must be an object, not an array"}},
 		"fraction":      {config.KindServices, `{"services":[{"name":"a","type":"plain","deadline_ms":1.5}]}`, []string{"services[0].deadline_ms: must be an integer"}},
 		"unknown kind":  {config.Kind("odd"), `{}`, []string{`"odd"`}},
-		"too large":     {config.KindServices, strings.Repeat(" ", platform.MaxValueBytes), []string{"limit"}},
+		"too large":     {config.KindServices, strings.Repeat(" ", objectapi.MaxValueBytes), []string{"limit"}},
 		"services": {
 			config.KindServices,
 			`{"services":[{"name":"a","type":"model"},{"name":"a","type":"plain","model":"m"},{"name":"","type":"odd","deadline_ms":-1},{"name":"c","type":"model","model":"m"}]}`,
@@ -180,22 +180,22 @@
 // unclear is a store whose writes have an unknown outcome.
 type unclear struct{ *memstore.Store }
 
-func (u unclear) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (u unclear) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	_, _ = u.Store.Put(ctx, o)
-	return platform.Object{}, &platform.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: context.DeadlineExceeded}
+	return objectapi.Object{}, &objectapi.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: context.DeadlineExceeded}
 }
 
 func TestAcceptSaysNothingOfAnUnknownOutcome(t *testing.T) {
 	store := unclear{memstore.New(memstore.Config{})}
 	_, err := config.Accept(context.Background(), store, change(config.KindServices, services, 0))
-	var unknown *platform.OutcomeUnknownError
+	var unknown *objectapi.OutcomeUnknownError
 	assert.Assert(t, errors.As(err, &unknown), "%v", err)
 }
 
 func TestAcceptMendsAnUnreadableValue(t *testing.T) {
 	ctx := context.Background()
 	store := memstore.New(memstore.Config{})
-	_, err := store.Put(ctx, platform.Object{Kind: config.ObjectKind, Name: string(config.KindServices), Value: []byte("{")})
+	_, err := store.Put(ctx, objectapi.Object{Kind: config.ObjectKind, Name: string(config.KindServices), Value: []byte("{")})
 	assert.NilError(t, err)
 	_, err = config.Accept(ctx, store, change(config.KindTeams, `{"teams":[]}`, 0))
 	assert.ErrorContains(t, err, `"services"`)
--- a/fleet/config/validate.go
+++ b/fleet/config/validate.go
@@ -7,7 +7,7 @@
 	"unicode"
 
 	"github.com/siskinford/siskinford/core/finding"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 const (
@@ -76,7 +76,7 @@
 
 // maxValueBytes leaves room for the envelope within a platform value, in which
 // the value stands as JSON.
-const maxValueBytes = platform.MaxValueBytes - 4096
+const maxValueBytes = objectapi.MaxValueBytes - 4096
 
 // Validate returns all findings in a *ServiceSet, *TeamSet or *EndpointSet by itself.
 func Validate(v any) finding.List {
--- a/fleet/duty/duty_test.go
+++ b/fleet/duty/duty_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/fleet/duty"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 var leaseCases = flag.Int("duty.cases", 2000, "number of random lease schedules")
@@ -24,7 +24,7 @@
 	*memstore.Store
 	t     *testing.T
 	time  time.Time
-	fault func(o platform.Object) (platform.Object, error)
+	fault func(o objectapi.Object) (objectapi.Object, error)
 	down  bool
 	a, b  *duty.Lease
 }
@@ -43,9 +43,9 @@
 	return l
 }
 
-func (f *fleet) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (f *fleet) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	if f.down {
-		return platform.Object{}, &platform.UnavailableError{Cause: errors.New("outage")}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errors.New("outage")}
 	}
 	if fault := f.fault; fault != nil {
 		f.fault = nil
@@ -54,27 +54,27 @@
 	return f.Store.Put(ctx, o)
 }
 
-func (f *fleet) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (f *fleet) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if f.down {
-		return platform.Object{}, &platform.UnavailableError{Cause: errors.New("outage")}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errors.New("outage")}
 	}
 	return f.Store.Get(ctx, kind, name)
 }
 
 // loseAnswer makes the next write take effect without an answer.
 func (f *fleet) loseAnswer() {
-	f.fault = func(o platform.Object) (platform.Object, error) {
+	f.fault = func(o objectapi.Object) (objectapi.Object, error) {
 		_, _ = f.Store.Put(context.Background(), o)
-		return platform.Object{}, &platform.OutcomeUnknownError{Cause: errors.New("answer lost")}
+		return objectapi.Object{}, &objectapi.OutcomeUnknownError{Cause: errors.New("answer lost")}
 	}
 }
 
 // delay makes the next write arrive, unanswered, when the returned function is called.
 func (f *fleet) delay() func() {
-	var late platform.Object
-	f.fault = func(o platform.Object) (platform.Object, error) {
+	var late objectapi.Object
+	f.fault = func(o objectapi.Object) (objectapi.Object, error) {
 		late = o
-		return platform.Object{}, &platform.OutcomeUnknownError{Cause: errors.New("answer lost")}
+		return objectapi.Object{}, &objectapi.OutcomeUnknownError{Cause: errors.New("answer lost")}
 	}
 	return func() { _, _ = f.Store.Put(context.Background(), late) }
 }
@@ -82,7 +82,7 @@
 // slow makes the next write take a TTL to be answered. The observer steps as
 // soon as the write took effect.
 func (f *fleet) slow(observer *duty.Lease) {
-	f.fault = func(o platform.Object) (platform.Object, error) {
+	f.fault = func(o objectapi.Object) (objectapi.Object, error) {
 		written, err := f.Store.Put(context.Background(), o)
 		_ = observer.Step(context.Background())
 		f.pass(ttl)
@@ -115,8 +115,8 @@
 }
 
 func TestLease(t *testing.T) {
-	var unknown *platform.OutcomeUnknownError
-	var unavailable *platform.UnavailableError
+	var unknown *objectapi.OutcomeUnknownError
+	var unavailable *objectapi.UnavailableError
 	cases := map[string]func(f *fleet){
 		"one of two takers wins": func(f *fleet) {
 			f.step(f.a, f.b)
--- a/fleet/duty/lease.go
+++ b/fleet/duty/lease.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/core/finding"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // LeaseKind is the platform object kind of leases, with the duty as object name.
@@ -26,13 +26,16 @@
 // LeaseConfig configures a Lease.
 type LeaseConfig struct {
 	// Store is the platform. Required.
-	Store platform.Store
+	Store objectapi.Store
 	// Duty names what is leased. Required.
 	Duty Name
 	// Holder identifies this process, different after each start. Required.
 	Holder string
 	// TTL is the time for which a renewal lasts. It should be renewed at a third of it. Default: 10 s.
 	TTL time.Duration
+	// Gone reports that a holder is known to have ended, so that its lease can be
+	// taken at once. Default: no holder is.
+	Gone func(holder string) bool
 	// Now returns a time with a monotonic reading. Default: time.Now.
 	Now func() time.Time
 }
@@ -81,7 +84,7 @@
 	// The fields up to mu belong to the goroutine that calls Step.
 
 	// seen is the last known stored object, value its content.
-	seen  platform.Object
+	seen  objectapi.Object
 	value leaseValue
 	// seenAt is when the version of seen was first seen.
 	seenAt time.Time
@@ -105,6 +108,9 @@
 	if cfg.TTL == 0 {
 		cfg.TTL = defaultTTL
 	}
+	if cfg.Gone == nil {
+		cfg.Gone = func(string) bool { return false }
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -161,7 +167,7 @@
 		return l.write(ctx, l.own(1, false))
 	case l.value.Holder == l.cfg.Holder && !l.value.Released:
 		return l.write(ctx, l.own(l.value.Epoch, false))
-	case l.value.Released || l.expired(l.cfg.Now()):
+	case l.value.Released || l.expired(l.cfg.Now()) || l.cfg.Gone(l.value.Holder):
 		return l.write(ctx, l.own(l.value.Epoch+1, false))
 	default:
 		return nil
@@ -198,9 +204,9 @@
 
 func (l *Lease) read(ctx context.Context) error {
 	o, err := l.cfg.Store.Get(ctx, LeaseKind, string(l.cfg.Duty))
-	var notFound *platform.NotFoundError
+	var notFound *objectapi.NotFoundError
 	if errors.As(err, &notFound) {
-		o, err = platform.Object{}, nil
+		o, err = objectapi.Object{}, nil
 	}
 	if err != nil {
 		return err
@@ -219,7 +225,7 @@
 }
 
 // observe takes note of the stored object.
-func (l *Lease) observe(o platform.Object) error {
+func (l *Lease) observe(o objectapi.Object) error {
 	if o.Version < l.seen.Version {
 		return &OlderVersionError{Duty: l.cfg.Duty, Seen: l.seen.Version, Shown: o.Version}
 	}
@@ -248,10 +254,10 @@
 		return errors.Wrap(err, "lease cannot be encoded")
 	}
 	sent := l.cfg.Now()
-	o, err := l.cfg.Store.Put(ctx, platform.Object{
+	o, err := l.cfg.Store.Put(ctx, objectapi.Object{
 		Kind: LeaseKind, Name: string(l.cfg.Duty), Version: l.seen.Version, Value: value,
 	})
-	var conflict *platform.ConflictError
+	var conflict *objectapi.ConflictError
 	if errors.As(err, &conflict) {
 		return l.lose(conflict)
 	}
@@ -268,7 +274,7 @@
 }
 
 // lose takes note of the object that won a conditional update.
-func (l *Lease) lose(conflict *platform.ConflictError) error {
+func (l *Lease) lose(conflict *objectapi.ConflictError) error {
 	l.doubtful = true
 	if conflict.Current.Version <= l.seen.Version {
 		return conflict
--- a/fleet/member/bench_test.go
+++ b/fleet/member/bench_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // epoch is the virtual time at which every bench starts.
@@ -92,7 +92,7 @@
 }
 
 // start adds a host and starts its ticks at a random phase.
-func (b *bench) start(name id.Host, zone id.Zone, hints []platform.Host) *host {
+func (b *bench) start(name id.Host, zone id.Zone, hints []objectapi.Host) *host {
 	h := &host{zone: zone, peer: Peer{Host: name, Address: "addr-" + string(name)}}
 	h.table = New(Options{
 		Config: Default(), Zone: zone, Host: name, Address: h.peer.Address, Seed: b.rng.Uint64(),
@@ -190,13 +190,13 @@
 
 // fleet starts zones of n hosts and runs until they know each other.
 func (b *bench) fleet(zones, n int) []*host {
-	var list []platform.Host
+	var list []objectapi.Host
 	for z := range zones {
 		for i := range n {
 			name := id.Host(fmt.Sprintf("host-%d-%02d", z, i))
-			list = append(list, platform.Host{
+			list = append(list, objectapi.Host{
 				Name: name, Zone: id.Zone(fmt.Sprintf("zone-%d", z)),
-				Address: "addr-" + string(name), State: platform.HostLive,
+				Address: "addr-" + string(name), State: objectapi.HostLive,
 			})
 		}
 	}
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 const zoneSize = 36
@@ -103,9 +103,9 @@
 	b.fleet(1, zoneSize)
 	const replacements, together = 160, 4
 	for first := 0; first < replacements; first += together {
-		var list []platform.Host
+		var list []objectapi.Host
 		for _, h := range b.order {
-			list = append(list, platform.Host{Name: h.peer.Host, Zone: h.zone, Address: h.peer.Address, State: platform.HostLive})
+			list = append(list, objectapi.Host{Name: h.peer.Host, Zone: h.zone, Address: h.peer.Address, State: objectapi.HostLive})
 		}
 		leaving := slices.Clone(b.order[:together])
 		for _, h := range leaving {
@@ -198,7 +198,7 @@
 	all := b.fleet(1, zoneSize)
 	b.run(time.Minute)
 	leaving := all[4]
-	hint := []platform.Host{{Name: leaving.peer.Host, Zone: leaving.zone, Address: leaving.peer.Address, State: platform.HostLeaving}}
+	hint := []objectapi.Host{{Name: leaving.peer.Host, Zone: leaving.zone, Address: leaving.peer.Address, State: objectapi.HostLeaving}}
 	all[9].table.SetHints(hint, b.now)
 	b.run(workBound)
 	assert.Equal(t, b.seen(leaving, Leaving), zoneSize-1)
@@ -207,7 +207,7 @@
 	leaving.killed = true
 	fresh := b.start(leaving.peer.Host, leaving.zone, nil)
 	b.order = append(b.order[:4], append([]*host{fresh}, b.order[5:zoneSize]...)...)
-	fresh.table.SetHints([]platform.Host{{Name: all[9].peer.Host, Zone: leaving.zone, Address: all[9].peer.Address}}, b.now)
+	fresh.table.SetHints([]objectapi.Host{{Name: all[9].peer.Host, Zone: leaving.zone, Address: all[9].peer.Address}}, b.now)
 	b.run(5 * time.Second)
 	assert.Equal(t, b.seen(fresh, Alive), zoneSize-1, "the restarted host takes work")
 	all[9].table.SetHints(hint, b.now)
--- a/fleet/member/runner.go
+++ b/fleet/member/runner.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/transport"
 )
 
@@ -169,7 +169,7 @@
 }
 
 // SetHints takes in the platform's lagging host list.
-func (r *Runner) SetHints(list []platform.Host) {
+func (r *Runner) SetHints(list []objectapi.Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.SetHints(list, r.clock())
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // TickInterval is the time between two calls of Tick.
@@ -199,7 +199,7 @@
 // SetHints takes in the platform's lagging host list. Hosts of the own zone
 // become seeds, and a live host that the list calls leaving is marked once for
 // each of its incarnations. Of each other zone only few hosts are remembered.
-func (t *Table) SetHints(list []platform.Host, now time.Time) {
+func (t *Table) SetHints(list []objectapi.Host, now time.Time) {
 	t.seeds = t.seeds[:0]
 	others := make(map[id.Zone][]Peer)
 	for _, h := range list {
@@ -208,7 +208,7 @@
 			others[h.Zone] = append(others[h.Zone], p)
 			continue
 		}
-		if h.State == platform.HostLeaving {
+		if h.State == objectapi.HostLeaving {
 			t.hintLeaving(h.Name, now)
 			continue
 		}
--- /dev/null
+++ b/fleet/mesh/cells_test.go
@@ -0,0 +1,189 @@
+package mesh
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+func members(n, zones int) []Member {
+	var out []Member
+	for i := range n {
+		out = append(out, Member{Host: id.Host(fmt.Sprintf("h%d", i)), Zone: id.Zone(fmt.Sprintf("z%d", i%zones))})
+	}
+	return out
+}
+
+func answersAll(id.Host) bool { return true }
+
+// TestCellsGrowWithTheRoot names the pattern "the fleet grows": what a member
+// exchanges grows with the square root of the fleet.
+func TestCellsGrowWithTheRoot(t *testing.T) {
+	for _, c := range []struct{ members, zones int }{{2, 1}, {4, 3}, {18, 4}, {20, 3}, {21, 3}, {50, 3}, {125, 3}, {360, 10}} {
+		all := members(c.members, c.zones)
+		l := newLayout(all)
+		total, most := 0, 0
+		for _, m := range all {
+			mates := l.mates(m.Host)
+			for _, h := range mates {
+				assert.Assert(t, l.together(m.Host, h))
+			}
+			contacts := l.contacts(m.Host, answersAll)
+			assert.Equal(t, len(contacts), len(l.names)-1, "one contact in each other cell")
+			n := len(mates) - 1 + len(contacts)
+			total += n
+			most = max(most, n)
+		}
+		mean := float64(total) / float64(c.members)
+		t.Logf("%d members in %d zones: %d cells, %.1f neighbors, %d at most", c.members, c.zones, len(l.names), mean, most)
+		if c.members <= wholeFleet {
+			assert.Equal(t, len(l.names), 1)
+			continue
+		}
+		assert.Assert(t, mean <= 2.5*math.Sqrt(float64(c.members)), "%.1f neighbors of %d", mean, c.members)
+	}
+}
+
+func TestCellsAreOfOneZone(t *testing.T) {
+	all := members(60, 3)
+	l := newLayout(all)
+	for _, a := range all {
+		for _, b := range all {
+			assert.Assert(t, a.Zone == b.Zone || !l.together(a.Host, b.Host))
+		}
+	}
+}
+
+// TestCellsLast: a member that comes leaves the others where they are.
+func TestCellsLast(t *testing.T) {
+	before, after := newLayout(members(125, 3)), newLayout(members(126, 3))
+	moved := 0
+	for host, cell := range before.of {
+		if after.of[host] != cell {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 0)
+}
+
+func TestContactThatDoesNotAnswerIsReplaced(t *testing.T) {
+	l := newLayout(members(60, 3))
+	for _, usual := range l.contacts("h0", answersAll) {
+		others := l.contacts("h0", func(h id.Host) bool { return h != usual })
+		replaced := 0
+		for i, h := range l.contacts("h0", answersAll) {
+			if others[i] != h {
+				replaced++
+				assert.Assert(t, h == usual && l.together(h, others[i]))
+			}
+		}
+		assert.Assert(t, replaced == 1 || len(l.mates(usual)) == 1)
+	}
+	none := l.contacts("h0", func(id.Host) bool { return false })
+	assert.DeepEqual(t, none, l.contacts("h0", answersAll))
+}
+
+// TestEachPairHasOneCaller: two members never both leave the call to the other.
+func TestEachPairHasOneCaller(t *testing.T) {
+	own := 0
+	for _, a := range members(20, 1) {
+		for _, b := range members(20, 1) {
+			if a.Host != b.Host {
+				assert.Assert(t, calls(a.Host, b.Host) != calls(b.Host, a.Host))
+			}
+			if a.Host == "h3" && b.Host != "h3" && calls(a.Host, b.Host) {
+				own++
+			}
+		}
+	}
+	assert.Assert(t, own > 4 && own < 15, "%d of 19 pairs", own)
+}
+
+// TestLargeFleet names the pattern "the fleet grows": states of all arrive
+// everywhere as sums, few members read the platform, and a value of one spreads.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 60
+		f := newFleet(t)
+		f.cfg.ForgetAfter = 8 * time.Second
+		var nodes []*node
+		for i := range size {
+			nodes = append(nodes, f.startIn(id.Zone(fmt.Sprintf("z%d", i%3)), fmt.Sprintf("h%d", i), "1"))
+		}
+		time.Sleep(10 * time.Second)
+		for _, n := range nodes {
+			assert.Equal(t, n.mesh.Known(), size)
+			assert.Equal(t, n.total(), size)
+		}
+		reading := 0
+		for _, n := range nodes {
+			if n.mesh.Reader() {
+				reading++
+			}
+		}
+		cells := len(nodes[0].mesh.layout.names)
+		assert.Assert(t, reading <= 2*cells, "%d of %d read, in %d cells", reading, size, cells)
+		assert.Assert(t, reading >= 3)
+
+		nodes[7].set(Value{Version: 9, Data: []byte("nine")})
+		nodes[7].mesh.Changed()
+		time.Sleep(1500 * time.Millisecond)
+		for i, n := range nodes {
+			assert.Equal(t, n.get().Version, uint64(9), "entry %d", i)
+		}
+
+		// A whole cell is lost. The others notice and forget it.
+		l := nodes[0].mesh.layout
+		lost := l.mates("h1")
+		gone := make(map[id.Host]bool)
+		for _, h := range lost {
+			gone[h] = true
+		}
+		for i, n := range nodes {
+			if gone[id.Host(fmt.Sprintf("h%d", i))] {
+				n.net.Kill()
+				n.store.SetDown(true)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for i, n := range nodes {
+			if !gone[id.Host(fmt.Sprintf("h%d", i))] {
+				assert.Equal(t, n.mesh.Known(), size-len(gone), "entry %d", i)
+			}
+		}
+		for _, n := range nodes {
+			n.cancel()
+		}
+		for _, n := range nodes {
+			<-n.done
+		}
+	})
+}
+
+// total returns the entries whose states the node counts: its own, those of its
+// cell and those in the sums of other cells.
+func (n *node) total() int {
+	n.mesh.mu.Lock()
+	l := n.mesh.divided()
+	n.mesh.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 1
+	for host := range n.states {
+		if l.together(n.mesh.opt.Self.Host, host) {
+			sum++ // Others told theirs before the fleet was divided.
+		}
+	}
+	for cell, c := range n.cells {
+		if len(l.cells[cell]) > 0 {
+			sum += c
+		}
+	}
+	return sum
+}
--- a/fleet/platform/circuit.go
+++ b/fleet/objectapi/circuit.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"math/rand/v2"
--- a/fleet/platform/client.go
+++ b/fleet/objectapi/client.go
@@ -1,18 +1,19 @@
-package platform
+package objectapi
 
 import (
 	"context"
 	"crypto/rand"
 	"encoding/hex"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/siskinford/siskinford/core/dial"
 	"github.com/siskinford/siskinford/core/finding"
 )
 
@@ -22,6 +23,8 @@
 	BaseURL string
 	// Caller names this process to the platform. Required.
 	Caller string
+	// Protocol translates calls to the platform's API. Default: Generic.
+	Protocol Protocol
 	// CallTimeout bounds each call but watches. Default: 1 s.
 	CallTimeout time.Duration
 	// PollWait is the time for which the platform is asked to hold a watch open. Default: 5 s.
@@ -40,6 +43,13 @@
 	MaxBudgetWait time.Duration
 	// Backoff spaces the calls after failures. Default: 200 ms to 10 s.
 	Backoff Backoff
+	// KeepAlive is the time without traffic after which a connection is probed,
+	// and between probes. Three probes without an answer end a connection.
+	// Default: the operating system's.
+	KeepAlive time.Duration
+	// Source is the address of this host from which connections are opened.
+	// Default: the operating system's choice.
+	Source netip.Addr
 	// Seed seeds the jitter. Zero means a random seed.
 	Seed uint64
 }
@@ -55,6 +65,7 @@
 	defaultMinBackoff      = 200 * time.Millisecond
 	defaultMaxBackoff      = 10 * time.Second
 	idleConnTimeout        = 30 * time.Second
+	keepAliveProbes        = 3
 	writeIDLen             = 16
 )
 
@@ -110,6 +121,9 @@
 	orDefault(&c.MaxBudgetWait, defaultMaxBudgetWait)
 	orDefault(&c.Backoff.Min, defaultMinBackoff)
 	orDefault(&c.Backoff.Max, defaultMaxBackoff)
+	if c.Protocol == nil {
+		c.Protocol = Generic{}
+	}
 	if c.Seed == 0 {
 		c.Seed = mathrand.Uint64()
 	}
@@ -152,9 +166,9 @@
 }
 
 func transport(cfg ClientConfig, single bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.CallTimeout}
+	d := dial.Config{Source: cfg.Source, Timeout: cfg.CallTimeout, ProbeInterval: cfg.KeepAlive, ProbeCount: keepAliveProbes}
 	return &http.Transport{
-		DialContext:       dialer.DialContext,
+		DialContext:       d.Dialer().DialContext,
 		DisableKeepAlives: single,
 		IdleConnTimeout:   idleConnTimeout,
 		Protocols:         http1(),
@@ -172,6 +186,14 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
+// Patient returns a client whose watches wait for another time. It shares the
+// connections, budgets and backoff of c.
+func (c *Client) Patient(wait time.Duration) *Client {
+	patient := *c
+	patient.cfg.PollWait = min(wait, MaxPollWait)
+	return &patient
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.reader.CloseIdleConnections()
--- a/fleet/platform/faultstore/faultstore.go
+++ b/fleet/objectapi/faultstore/faultstore.go
@@ -1,4 +1,4 @@
-// Package faultstore is a platform.Store in front of another one, with outages,
+// Package faultstore is a objectapi.Store in front of another one, with outages,
 // lost answers, a stale view and counted calls, for tests and measurements.
 package faultstore
 
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 var (
@@ -35,7 +35,7 @@
 	back    int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectapi.Store = (*Store)(nil)
 
 // New returns a store without faults.
 func New(inner *memstore.Store) *Store {
@@ -78,7 +78,7 @@
 	defer s.mu.Unlock()
 	s.calls = append(s.calls, Call{Method: method, At: time.Now()})
 	if s.down {
-		return nil, nil, &platform.UnavailableError{Cause: errOutage}
+		return nil, nil, &objectapi.UnavailableError{Cause: errOutage}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	changed := s.changed
@@ -98,10 +98,10 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
-		return &platform.UnavailableError{Cause: errOutage}
+		return &objectapi.UnavailableError{Cause: errOutage}
 	case s.lose > 0:
 		s.lose--
-		return &platform.UnavailableError{Cause: errLostAnswer}
+		return &objectapi.UnavailableError{Cause: errLostAnswer}
 	}
 	return nil
 }
@@ -112,22 +112,22 @@
 	return s.back
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	ctx, cancel, err := s.begin(ctx, "get")
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	defer cancel()
 	o, err := s.inner.GetEarlier(ctx, kind, name, s.lag())
 	if fault := s.end(); fault != nil {
-		return platform.Object{}, fault
+		return objectapi.Object{}, fault
 	}
 	return o, err
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements objectapi.Store.
+func (s *Store) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
 	ctx, cancel, err := s.begin(ctx, "list")
 	if err != nil {
 		return nil, 0, err
@@ -140,21 +140,21 @@
 	return objects, revision, err
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+// Put implements objectapi.Store.
+func (s *Store) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	ctx, cancel, err := s.begin(ctx, "put")
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	defer cancel()
 	written, err := s.inner.Put(ctx, o)
 	if fault := s.end(); fault != nil {
-		return platform.Object{}, &platform.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: fault}
+		return objectapi.Object{}, &objectapi.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: fault}
 	}
 	return written, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
 	ctx, cancel, err := s.begin(ctx, "delete")
 	if err != nil {
@@ -163,13 +163,13 @@
 	defer cancel()
 	err = s.inner.Delete(ctx, kind, name, version)
 	if fault := s.end(); fault != nil {
-		return &platform.OutcomeUnknownError{Kind: kind, Name: name, Cause: fault}
+		return &objectapi.OutcomeUnknownError{Kind: kind, Name: name, Cause: fault}
 	}
 	return err
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]objectapi.Object, uint64, error) {
 	ctx, cancel, err := s.begin(ctx, "watch")
 	if err != nil {
 		return nil, 0, err
@@ -182,8 +182,8 @@
 	return objects, revision, err
 }
 
-// Hosts implements platform.Store.
-func (s *Store) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements objectapi.Store.
+func (s *Store) Hosts(ctx context.Context) ([]objectapi.Host, error) {
 	ctx, cancel, err := s.begin(ctx, "hosts")
 	if err != nil {
 		return nil, err
--- a/fleet/platform/memstore/memstore.go
+++ b/fleet/objectapi/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store for tests and for the
+// Package memstore is an in-memory objectapi.Store for tests and for the
 // platform stand-in. It keeps nothing beyond the life of the process.
 package memstore
 
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // historyLen is the number of earlier versions kept for each object.
@@ -31,13 +31,13 @@
 	pollWait time.Duration
 
 	mu       sync.Mutex // leaf lock: nothing else is locked under it
-	versions map[key][]platform.Object
+	versions map[key][]objectapi.Object
 	revision uint64
 	changed  chan struct{}
-	hosts    []platform.Host
+	hosts    []objectapi.Host
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectapi.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(cfg Config) *Store {
@@ -46,51 +46,51 @@
 	}
 	return &Store{
 		pollWait: cfg.PollWait,
-		versions: make(map[key][]platform.Object),
+		versions: make(map[key][]objectapi.Object),
 		changed:  make(chan struct{}),
 	}
 }
 
 // Get returns the current version of an object.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *Store) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	return s.GetEarlier(ctx, kind, name, 0)
 }
 
 // GetEarlier returns the version of an object that was current back writes ago,
 // or the oldest one kept.
-func (s *Store) GetEarlier(ctx context.Context, kind, name string, back int) (platform.Object, error) {
+func (s *Store) GetEarlier(ctx context.Context, kind, name string, back int) (objectapi.Object, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := earlier(s.versions[key{kind, name}], back)
 	if !exists(o) {
-		return platform.Object{}, &platform.NotFoundError{Kind: kind, Name: name}
+		return objectapi.Object{}, &objectapi.NotFoundError{Kind: kind, Name: name}
 	}
 	return o, nil
 }
 
 // List returns the current objects of a kind, ordered by name.
-func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind string) ([]objectapi.Object, uint64, error) {
 	return s.ListEarlier(ctx, kind, 0)
 }
 
 // ListEarlier is List with each object as it was back writes ago.
-func (s *Store) ListEarlier(ctx context.Context, kind string, back int) ([]platform.Object, uint64, error) {
+func (s *Store) ListEarlier(ctx context.Context, kind string, back int) ([]objectapi.Object, uint64, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := s.selectLocked(kind, func(o platform.Object) bool { return !o.Deleted }, back)
+	objects := s.selectLocked(kind, func(o objectapi.Object) bool { return !o.Deleted }, back)
 	return objects, s.revision, nil
 }
 
 // Put writes o if the stored version equals o.Version.
-func (s *Store) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s *Store) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	o.Value = slices.Clone(o.Value)
 	o.Deleted = false
@@ -110,14 +110,14 @@
 	if _, err := s.Get(ctx, kind, name); err != nil {
 		return err
 	}
-	o := platform.Object{Kind: kind, Name: name, Version: version, WriteID: writeID, Deleted: true}
+	o := objectapi.Object{Kind: kind, Name: name, Version: version, WriteID: writeID, Deleted: true}
 	_, err := s.write(o)
 	return err
 }
 
 // Watch returns the objects of a kind written or deleted after a revision. It
 // blocks until there is one, the poll ends or ctx ends.
-func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]objectapi.Object, uint64, error) {
 	end := time.NewTimer(s.pollWait)
 	defer end.Stop()
 	for {
@@ -136,7 +136,7 @@
 }
 
 // Hosts returns the host list as last set.
-func (s *Store) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (s *Store) Hosts(ctx context.Context) ([]objectapi.Host, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -146,13 +146,13 @@
 }
 
 // SetHosts replaces the host list.
-func (s *Store) SetHosts(hosts []platform.Host) {
+func (s *Store) SetHosts(hosts []objectapi.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = slices.Clone(hosts)
 }
 
-func (s *Store) write(o platform.Object) (platform.Object, error) {
+func (s *Store) write(o objectapi.Object) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{o.Kind, o.Name}
@@ -161,7 +161,7 @@
 		conflict := current
 		conflict.Kind, conflict.Name = o.Kind, o.Name
 		conflict.Version = seen
-		return platform.Object{}, &platform.ConflictError{Want: o.Version, Current: conflict}
+		return objectapi.Object{}, &objectapi.ConflictError{Want: o.Version, Current: conflict}
 	}
 	s.revision++
 	o.Version = current.Version + 1
@@ -173,15 +173,15 @@
 	return o, nil
 }
 
-func (s *Store) since(kind string, after uint64) ([]platform.Object, uint64, <-chan struct{}) {
+func (s *Store) since(kind string, after uint64) ([]objectapi.Object, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := s.selectLocked(kind, func(o platform.Object) bool { return o.Revision > after }, 0)
+	objects := s.selectLocked(kind, func(o objectapi.Object) bool { return o.Revision > after }, 0)
 	return objects, s.revision, s.changed
 }
 
-func (s *Store) selectLocked(kind string, keep func(platform.Object) bool, back int) []platform.Object {
-	var objects []platform.Object
+func (s *Store) selectLocked(kind string, keep func(objectapi.Object) bool, back int) []objectapi.Object {
+	var objects []objectapi.Object
 	for k, versions := range s.versions {
 		if k.kind != kind {
 			continue
@@ -190,20 +190,20 @@
 			objects = append(objects, o)
 		}
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(objects, func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
 	return objects
 }
 
-func earlier(versions []platform.Object, back int) platform.Object {
+func earlier(versions []objectapi.Object, back int) objectapi.Object {
 	if len(versions) == 0 {
-		return platform.Object{}
+		return objectapi.Object{}
 	}
 	return versions[max(0, len(versions)-1-back)]
 }
 
-func exists(o platform.Object) bool { return o.Version > 0 && !o.Deleted }
+func exists(o objectapi.Object) bool { return o.Version > 0 && !o.Deleted }
 
-func visibleVersion(o platform.Object) uint64 {
+func visibleVersion(o objectapi.Object) uint64 {
 	if !exists(o) {
 		return 0
 	}
--- a/fleet/platform/read.go
+++ b/fleet/objectapi/read.go
@@ -1,10 +1,8 @@
-package platform
+package objectapi
 
 import (
 	"context"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,20 +13,19 @@
 
 // Get returns an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	r := request{method: http.MethodGet, path: objectPath(kind, name), limit: maxAnswerBytes}
-	a, err := c.read(ctx, r)
+	a, err := c.read(ctx, c.cfg.Protocol.Get(kind, name))
 	if err != nil {
 		return Object{}, err
 	}
-	return decodeObject(a, kind, name)
+	return c.decodeObject(a, kind, name)
 }
 
-func decodeObject(a answer, kind, name string) (Object, error) {
+func (c *Client) decodeObject(a answer, kind, name string) (Object, error) {
 	switch a.status {
 	case http.StatusOK:
-		var o Object
-		if err := decode(a, &o); err != nil {
-			return Object{}, &UnavailableError{Cause: err}
+		o, err := c.cfg.Protocol.DecodeObject(kind, a.body)
+		if err != nil {
+			return Object{}, &UnavailableError{Cause: undecodable(err)}
 		}
 		return o, nil
 	case http.StatusNotFound:
@@ -38,14 +35,31 @@
 	}
 }
 
-// List returns all objects of a kind.
+func undecodable(err error) error { return errors.Wrap(err, "platform answer cannot be decoded") }
+
+// List returns all objects of a kind and the revision at which its first page
+// was read, so that a watch from there reports what changed between pages.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
-	r := request{method: http.MethodGet, path: PathObjects + "/" + url.PathEscape(kind), limit: maxListBytes}
-	var l ObjectList
-	if err := c.readInto(ctx, r, &l); err != nil {
-		return nil, 0, err
+	var (
+		all      []Object
+		revision uint64
+		after    string
+	)
+	for first := true; first || after != ""; first = false {
+		a, err := c.read(ctx, c.cfg.Protocol.List(kind, after))
+		page, err := c.decodePage(ctx, kind, a, err)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first {
+			revision = page.Revision
+		}
+		if page.Next != "" && page.Next <= after {
+			return nil, 0, &UnavailableError{Cause: errors.Newf("list of %q does not advance past %q", kind, after)}
+		}
+		all, after = append(all, page.Objects...), page.Next
 	}
-	return l.Objects, l.Revision, nil
+	return all, revision, nil
 }
 
 // Watch returns the objects of a kind written after a revision. It waits out
@@ -59,48 +73,58 @@
 		// This call is the probe that others wait for, so it must be short.
 		wait = probePollWait
 	}
-	query := url.Values{}
-	query.Set(QueryAfter, strconv.FormatUint(after, 10))
-	query.Set(QueryWait, strconv.FormatInt(wait.Milliseconds(), 10))
-	r := request{method: http.MethodGet, path: PathObjects + "/" + url.PathEscape(kind), query: query, limit: maxListBytes}
-	a, err := c.roundTrip(ctx, c.reader, r, wait+c.cfg.PollGrace)
-	var l ObjectList
-	if err := decodeList(ctx, a, err, &l); err != nil {
+	a, err := c.roundTrip(ctx, c.reader, c.cfg.Protocol.Watch(kind, after, wait), wait+c.cfg.PollGrace)
+	page, err := c.decodePage(ctx, kind, a, err)
+	if err != nil {
 		return nil, 0, err
 	}
-	return l.Objects, l.Revision, nil
+	return page.Objects, page.Revision, nil
 }
 
-// Hosts returns the host list.
+// Hosts returns the host list, which is empty if the API has none.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var l HostList
-	if err := c.readInto(ctx, request{method: http.MethodGet, path: PathHosts, limit: maxListBytes}, &l); err != nil {
+	call, ok := c.cfg.Protocol.Hosts()
+	if !ok {
+		return nil, nil
+	}
+	a, err := c.read(ctx, call)
+	if err := pageError(ctx, a, err); err != nil {
 		return nil, err
 	}
-	return l.Hosts, nil
+	hosts, err := c.cfg.Protocol.DecodeHosts(a.body)
+	if err != nil {
+		return nil, &UnavailableError{Cause: undecodable(err)}
+	}
+	return hosts, nil
 }
 
-func (c *Client) readInto(ctx context.Context, r request, v any) error {
-	a, err := c.read(ctx, r)
-	return decodeList(ctx, a, err, v)
+func (c *Client) decodePage(ctx context.Context, kind string, a answer, err error) (Page, error) {
+	if err := pageError(ctx, a, err); err != nil {
+		return Page{}, err
+	}
+	page, err := c.cfg.Protocol.DecodePage(kind, a.body)
+	if err != nil {
+		return Page{}, &UnavailableError{Cause: undecodable(err)}
+	}
+	return page, nil
 }
 
-func decodeList(ctx context.Context, a answer, err error, v any) error {
-	if err != nil {
+func pageError(ctx context.Context, a answer, err error) error {
+	switch {
+	case err != nil:
 		return readError(ctx, err)
-	}
-	if a.status != http.StatusOK {
+	case a.status == http.StatusGone:
+		return &HistoryGoneError{}
+	case a.status != http.StatusOK:
 		return &UnavailableError{Cause: statusError(a)}
+	default:
+		return nil
 	}
-	if err := decode(a, v); err != nil {
-		return &UnavailableError{Cause: err}
-	}
-	return nil
 }
 
 // read sends a read. After a failed connection it tries once more on a fresh
 // one, since a read may be repeated.
-func (c *Client) read(ctx context.Context, r request) (answer, error) {
+func (c *Client) read(ctx context.Context, r Call) (answer, error) {
 	if err := c.enter(ctx, c.reads, false); err != nil {
 		return answer{}, err
 	}
--- a/fleet/platform/store.go
+++ b/fleet/objectapi/store.go
@@ -1,6 +1,6 @@
-// Package platform reaches the platform's object API: versioned objects,
+// Package objectapi reaches the platform's object API: versioned objects,
 // conditional updates, long-poll watches and the host list.
-package platform
+package objectapi
 
 import (
 	"context"
@@ -13,11 +13,14 @@
 type Object struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
-	// Version increases by one with each write or deletion of the object, also
-	// over a deletion and a new creation. Zero means that it never existed.
+	// Version increases with each write of the object, also over a deletion and
+	// a new creation. Zero means that it does not exist.
 	Version uint64 `json:"version"`
 	// Revision is the position of the last write in the order of all writes of the store.
 	Revision uint64 `json:"revision"`
+	// Created is the revision at which the object was created, zero if the API
+	// does not tell.
+	Created uint64 `json:"created,omitempty"`
 	// WriteID is the random ID that the writer gave to the last write. It
 	// lets a writer recognize its own write after the answer was lost.
 	WriteID string `json:"write_id"`
@@ -66,7 +69,9 @@
 	Delete(ctx context.Context, kind, name string, version uint64) error
 	// Watch returns the objects of a kind written after the given revision and
 	// the revision that the answer reflects. It waits until there is one or
-	// the platform ends the poll, in which case the slice is empty.
+	// the platform ends the poll, in which case the slice is empty. The error is
+	// a *HistoryGoneError if the platform no longer knows what changed since;
+	// the caller then lists the kind again.
 	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
 	// Hosts returns the lagging host list.
 	Hosts(ctx context.Context) ([]Host, error)
@@ -115,6 +120,14 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// HistoryGoneError reports a watch from a revision whose successors the platform
+// no longer knows.
+type HistoryGoneError struct{}
+
+func (*HistoryGoneError) Error() string {
+	return "platform no longer holds the history after that revision"
+}
+
 // ValueTooLargeError reports a value above MaxValueBytes. Nothing was written.
 type ValueTooLargeError struct {
 	Kind, Name string
--- a/fleet/platform/transport.go
+++ b/fleet/objectapi/transport.go
@@ -1,13 +1,11 @@
-package platform
+package objectapi
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 
@@ -15,10 +13,8 @@
 )
 
 const (
-	// maxAnswerBytes limits the answer about one object, whose value is base64 in JSON.
-	maxAnswerBytes = 2 * MaxValueBytes
-	// maxListBytes limits the answer to a list or watch.
-	maxListBytes = 64 * MaxValueBytes
+	// maxAnswerBytes limits an answer. A list of the generic API is not paged.
+	maxAnswerBytes = 64 * MaxValueBytes
 	// maxErrorText limits the part of an error answer that is reported. Unit: bytes.
 	maxErrorText = 200
 )
@@ -29,20 +25,6 @@
 	body   []byte
 }
 
-// request describes one HTTP request.
-type request struct {
-	method  string
-	path    string
-	query   url.Values
-	writeID string
-	body    []byte
-	limit   int64
-}
-
-func objectPath(kind, name string) string {
-	return PathObjects + "/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
-}
-
 // sentError reports a request that may have reached the platform.
 type sentError struct{ cause error }
 
@@ -51,14 +33,14 @@
 
 // roundTrip sends one request and reads its answer whole. The error is a
 // *sentError unless no byte of the request can have left the process.
-func (c *Client) roundTrip(ctx context.Context, hc *http.Client, r request, timeout time.Duration) (answer, error) {
+func (c *Client) roundTrip(ctx context.Context, hc *http.Client, r Call, timeout time.Duration) (answer, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	hr, err := c.newRequest(callCtx, r)
 	if err != nil {
 		return answer{}, err
 	}
-	a, err := exchange(hc, hr, r.limit)
+	a, err := exchange(hc, hr)
 	c.circuit.done(c.now(), classify(ctx, a, err))
 	if err != nil && ctx.Err() == nil {
 		// The failed connection may have silent siblings.
@@ -78,20 +60,20 @@
 	}
 }
 
-func (c *Client) newRequest(ctx context.Context, r request) (*http.Request, error) {
-	target := strings.TrimSuffix(c.cfg.BaseURL, "/") + r.path
-	if len(r.query) > 0 {
-		target += "?" + r.query.Encode()
+func (c *Client) newRequest(ctx context.Context, r Call) (*http.Request, error) {
+	target := strings.TrimSuffix(c.cfg.BaseURL, "/") + r.Path
+	if len(r.Query) > 0 {
+		target += "?" + r.Query.Encode()
 	}
-	hr, err := http.NewRequestWithContext(ctx, r.method, target, body(r.body))
+	hr, err := http.NewRequestWithContext(ctx, r.Method, target, body(r.Body))
 	if err != nil {
 		return nil, err
 	}
 	// Without GetBody net/http cannot rewind the body to send it again.
 	hr.GetBody = nil
 	hr.Header.Set(HeaderCaller, c.cfg.Caller)
-	if r.writeID != "" {
-		hr.Header.Set(HeaderWriteID, r.writeID)
+	for name, values := range r.Header {
+		hr.Header[name] = values
 	}
 	return hr, nil
 }
@@ -103,18 +85,18 @@
 	return bytes.NewReader(b)
 }
 
-func exchange(hc *http.Client, hr *http.Request, limit int64) (answer, error) {
+func exchange(hc *http.Client, hr *http.Request) (answer, error) {
 	resp, err := hc.Do(hr)
 	if err != nil {
 		return answer{}, sendFailure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return answer{}, &sentError{cause: err}
 	}
-	if int64(len(b)) > limit {
-		return answer{}, &sentError{cause: errors.Newf("answer exceeds %d bytes", limit)}
+	if len(b) > maxAnswerBytes {
+		return answer{}, &sentError{cause: errors.Newf("answer exceeds %d bytes", maxAnswerBytes)}
 	}
 	return answer{status: resp.StatusCode, body: b}, nil
 }
@@ -133,10 +115,3 @@
 	text := strings.TrimSpace(string(a.body[:min(len(a.body), maxErrorText)]))
 	return errors.Newf("platform answered with status %d: %s", a.status, text)
 }
-
-func decode(a answer, v any) error {
-	if err := json.Unmarshal(a.body, v); err != nil {
-		return errors.Wrap(err, "platform answer cannot be decoded")
-	}
-	return nil
-}
--- a/fleet/platform/write.go
+++ b/fleet/objectapi/write.go
@@ -1,10 +1,8 @@
-package platform
+package objectapi
 
 import (
 	"context"
 	"net/http"
-	"net/url"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,9 +10,10 @@
 // write is one conditional write or deletion. All attempts to send it carry the
 // same write ID and the same expected version.
 type write struct {
-	request
-	object Object
-	remove bool
+	protocol Protocol
+	call     Call
+	object   Object
+	remove   bool
 }
 
 // Put writes o if the stored version equals o.Version. An empty o.WriteID is
@@ -26,36 +25,26 @@
 	if o.WriteID == "" {
 		o.WriteID = newWriteID()
 	}
-	return c.write(ctx, newWrite(http.MethodPut, o))
+	call, err := c.cfg.Protocol.Put(o)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "object %q of kind %q cannot be encoded", o.Name, o.Kind)
+	}
+	return c.write(ctx, write{protocol: c.cfg.Protocol, call: call, object: o})
 }
 
 // Delete removes an object if its stored version equals version.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	o := Object{Kind: kind, Name: name, Version: version, WriteID: newWriteID()}
-	w := newWrite(http.MethodDelete, o)
-	w.remove = true
-	_, err := c.write(ctx, w)
+	_, err := c.write(ctx, write{protocol: c.cfg.Protocol, call: c.cfg.Protocol.Delete(o), object: o, remove: true})
 	return err
 }
 
-func newWrite(method string, o Object) write {
-	query := url.Values{}
-	query.Set(QueryVersion, strconv.FormatUint(o.Version, 10))
-	return write{
-		object: o,
-		request: request{
-			method: method, path: objectPath(o.Kind, o.Name), query: query,
-			writeID: o.WriteID, body: o.Value, limit: maxAnswerBytes,
-		},
-	}
-}
-
 // write sends w once. If its outcome is not clear from the answer, it is resolved.
 func (c *Client) write(ctx context.Context, w write) (Object, error) {
 	if err := c.enter(ctx, c.writes, false); err != nil {
 		return Object{}, err
 	}
-	a, err := c.roundTrip(ctx, c.writer, w.request, c.cfg.CallTimeout)
+	a, err := c.roundTrip(ctx, c.writer, w.call, c.cfg.CallTimeout)
 	o, err := w.conclude(a, err, false)
 	if !isUnclear(err) {
 		return o, err
@@ -110,20 +99,23 @@
 }
 
 func (w write) written(a answer) (Object, error) {
-	var o Object
-	if err := decode(a, &o); err != nil {
-		return Object{}, &unclearError{cause: err}
+	if w.remove {
+		return Object{}, nil
+	}
+	o, err := w.protocol.DecodeObject(w.object.Kind, a.body)
+	if err != nil {
+		return Object{}, &unclearError{cause: undecodable(err)}
 	}
 	o.Value = w.object.Value
 	return o, nil
 }
 
 func (w write) conflict(a answer, earlierUnclear bool) (Object, error) {
-	var current Object
-	if err := decode(a, &current); err != nil {
-		return Object{}, &unclearError{cause: err}
+	current, err := w.protocol.DecodeObject(w.object.Kind, a.body)
+	if err != nil {
+		return Object{}, &unclearError{cause: undecodable(err)}
 	}
-	if current.WriteID == w.writeID && !w.remove {
+	if current.WriteID == w.object.WriteID && !w.remove {
 		return current, nil
 	}
 	if !earlierUnclear {
@@ -136,7 +128,7 @@
 // whether an unclear attempt took effect.
 func (w write) recognize(current Object) (Object, error) {
 	switch {
-	case current.WriteID == w.writeID && !w.remove:
+	case current.WriteID == w.object.WriteID && !w.remove:
 		return current, nil
 	case current.Version == w.object.Version+1:
 		// The one version that this write could have made is another's.
@@ -194,7 +186,7 @@
 	if err := c.spend(ctx, c.writes); err != nil {
 		return Object{}, &unclearError{cause: err}
 	}
-	a, err := c.roundTrip(ctx, c.writer, w.request, c.cfg.CallTimeout)
+	a, err := c.roundTrip(ctx, c.writer, w.call, c.cfg.CallTimeout)
 	return w.conclude(a, err, true)
 }
 
@@ -203,12 +195,11 @@
 	if err := c.spend(ctx, c.reads); err != nil {
 		return Object{}, err
 	}
-	r := request{method: http.MethodGet, path: w.path, limit: maxAnswerBytes}
-	a, err := c.roundTrip(ctx, c.reader, r, c.cfg.CallTimeout)
+	a, err := c.roundTrip(ctx, c.reader, w.protocol.Get(w.object.Kind, w.object.Name), c.cfg.CallTimeout)
 	if err != nil {
 		return Object{}, err
 	}
-	o, err := decodeObject(a, w.object.Kind, w.object.Name)
+	o, err := c.decodeObject(a, w.object.Kind, w.object.Name)
 	var notFound *NotFoundError
 	if errors.As(err, &notFound) {
 		return Object{}, nil
--- a/fleet/spread/bench_test.go
+++ b/fleet/spread/bench_test.go
@@ -15,9 +15,9 @@
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/faultstore"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/faultstore"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/fleet/transport/memnet"
 )
@@ -25,7 +25,7 @@
 // applier records what a process has in force and each regression.
 type applier struct {
 	mu      sync.Mutex
-	values  map[config.Kind]platform.Object
+	values  map[config.Kind]objectapi.Object
 	invalid string // value that Apply refuses
 }
 
@@ -55,7 +55,7 @@
 	if version <= a.values[k].Version {
 		panic(fmt.Sprintf("%s went from version %d to %d", k, a.values[k].Version, version))
 	}
-	a.values[k] = platform.Object{Version: version, Value: value}
+	a.values[k] = objectapi.Object{Version: version, Value: value}
 	return nil
 }
 
@@ -77,7 +77,7 @@
 	t     *testing.T
 	net   *memnet.Network
 	store *memstore.Store
-	list  []platform.Host
+	list  []objectapi.Host
 	all   []*process
 	seed  uint64
 }
@@ -91,7 +91,7 @@
 	for z := range zones {
 		for i := range n {
 			name := id.Host(fmt.Sprintf("host-%d-%02d", z, i))
-			b.list = append(b.list, platform.Host{Name: name, Zone: id.Zone(fmt.Sprintf("zone-%d", z)), Address: "addr-" + string(name)})
+			b.list = append(b.list, objectapi.Host{Name: name, Zone: id.Zone(fmt.Sprintf("zone-%d", z)), Address: "addr-" + string(name)})
 		}
 	}
 	return b
@@ -108,7 +108,7 @@
 	b.seed++
 	p := &process{
 		name: name, zone: zone, node: b.net.Join(address),
-		applier: &applier{values: make(map[config.Kind]platform.Object)},
+		applier: &applier{values: make(map[config.Kind]objectapi.Object)},
 		store:   faultstore.New(b.store),
 		ring:    timeline.NewRing(string(name), 64, timeline.NewClock(time.Now)),
 	}
@@ -149,7 +149,7 @@
 
 // accept writes a version of a kind to the platform.
 func (b *bench) accept(kind config.Kind, value string) uint64 {
-	o := platform.Object{Kind: config.ObjectKind, Name: string(kind), Value: []byte(value)}
+	o := objectapi.Object{Kind: config.ObjectKind, Name: string(kind), Value: []byte(value)}
 	if current, err := b.store.Get(b.t.Context(), o.Kind, o.Name); err == nil {
 		o.Version = current.Version
 	}
--- a/fleet/spread/message.go
+++ b/fleet/spread/message.go
@@ -10,7 +10,7 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // Digest tells which versions a host has in force. It rides on heartbeats.
@@ -87,12 +87,12 @@
 // Inflate returns a packed value, or an error if it exceeds what the platform stores.
 func Inflate(deflated []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(deflated))
-	value, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r, objectapi.MaxValueBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("inflate configuration: %w", err)
 	}
-	if len(value) > platform.MaxValueBytes {
-		return nil, fmt.Errorf("configuration exceeds %d bytes", platform.MaxValueBytes)
+	if len(value) > objectapi.MaxValueBytes {
+		return nil, fmt.Errorf("configuration exceeds %d bytes", objectapi.MaxValueBytes)
 	}
 	return value, nil
 }
--- a/fleet/spread/reader.go
+++ b/fleet/spread/reader.go
@@ -7,7 +7,7 @@
 
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // read watches the platform while the host is the reader of its zone, until
@@ -82,7 +82,7 @@
 
 // poll waits for objects after a revision. A poll that the platform leaves
 // without an answer ends without objects.
-func (s *Spreader) poll(ctx context.Context, revision uint64) ([]platform.Object, uint64, error) {
+func (s *Spreader) poll(ctx context.Context, revision uint64) ([]objectapi.Object, uint64, error) {
 	poll, cancel := context.WithTimeout(ctx, s.cfg.WatchTimeout)
 	defer cancel()
 	objects, next, err := s.opt.Store.Watch(poll, config.ObjectKind, revision)
@@ -105,14 +105,14 @@
 	if err != nil {
 		return 0, fmt.Errorf("list configurations: %w", err)
 	}
-	byName := make(map[string]platform.Object, len(objects))
+	byName := make(map[string]objectapi.Object, len(objects))
 	for _, o := range objects {
 		byName[o.Name] = o
 	}
 	for _, kind := range config.Kinds() {
 		o, ok := byName[string(kind)]
 		if !ok {
-			o = platform.Object{Kind: config.ObjectKind, Name: string(kind)}
+			o = objectapi.Object{Kind: config.ObjectKind, Name: string(kind)}
 		}
 		s.take(o)
 	}
@@ -122,7 +122,7 @@
 
 // take applies an object of the platform and pushes it to the zone if it is
 // new. A version lower than the one in force is recorded and not obeyed.
-func (s *Spreader) take(o platform.Object) {
+func (s *Spreader) take(o objectapi.Object) {
 	kind := config.Kind(o.Name)
 	own := s.opt.Applier.Versions()[kind]
 	if o.Deleted {
--- a/fleet/spread/recover.go
+++ b/fleet/spread/recover.go
@@ -7,7 +7,7 @@
 
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // catchUp fetches versions that other hosts showed until ctx ends.
@@ -125,9 +125,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallPlatformTimeout)
 	defer cancel()
 	o, err := s.opt.Store.Get(ctx, config.ObjectKind, string(kind))
-	var missing *platform.NotFoundError
+	var missing *objectapi.NotFoundError
 	if errors.As(err, &missing) {
-		s.take(platform.Object{Kind: config.ObjectKind, Name: string(kind)})
+		s.take(objectapi.Object{Kind: config.ObjectKind, Name: string(kind)})
 		return false
 	}
 	if err != nil {
--- a/fleet/spread/spread.go
+++ b/fleet/spread/spread.go
@@ -15,7 +15,7 @@
 	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/transport"
 )
 
@@ -61,7 +61,7 @@
 type Options struct {
 	Config  Config
 	Zone    id.Zone
-	Store   platform.Store
+	Store   objectapi.Store
 	Applier Applier
 	Peers   Peers
 	Caller  transport.Caller
--- a/fleet/spread/spread_test.go
+++ b/fleet/spread/spread_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform/faultstore"
+	"github.com/siskinford/siskinford/fleet/objectapi/faultstore"
 	"github.com/siskinford/siskinford/fleet/transport"
 )
 
--- /dev/null
+++ b/wire/keys/pinned.go
@@ -0,0 +1,111 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// pinnedValidity exceeds the life of any process. Validity is not checked, as
+// the time of day may jump.
+const pinnedValidity = 10 * 365 * 24 * time.Hour
+
+// Trust decides whether a peer is accepted that presents a certificate with a
+// fingerprint. The remote address is nil when dialing. It must not block.
+type Trust func(host id.Host, fingerprint string, remote net.Addr) bool
+
+// Pinned is the identity of a process whose key nobody signs: it is made anew at
+// each start, and peers know it by its fingerprint.
+type Pinned struct {
+	certificate tls.Certificate
+	fingerprint string
+}
+
+// NewPinned creates an identity.
+func NewPinned(role Role, host id.Host) (*Pinned, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate key")
+	}
+	template, err := newTemplate(string(host), pinnedValidity)
+	if err != nil {
+		return nil, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	template.URIs = []*url.URL{{Scheme: uriScheme, Host: string(role), Path: "/" + string(host)}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate")
+	}
+	return &Pinned{
+		certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
+		fingerprint: fingerprint(der),
+	}, nil
+}
+
+func fingerprint(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
+
+// Fingerprint returns the SHA-256 of the certificate in hexadecimal.
+func (p *Pinned) Fingerprint() string { return p.fingerprint }
+
+// Server returns the TLS configuration of a listener that accepts trusted peers of a role.
+func (p *Pinned) Server(accept Role, trust Trust) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{protocol},
+		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+			var remote net.Addr
+			if hello.Conn != nil {
+				remote = hello.Conn.RemoteAddr()
+			}
+			c := p.config(accept, trust, remote)
+			c.ClientAuth = tls.RequireAnyClientCert
+			return c, nil
+		},
+	}
+}
+
+// Client returns the TLS configuration for dialing trusted peers of a role.
+func (p *Pinned) Client(accept Role, trust Trust) *tls.Config {
+	c := p.config(accept, trust, nil)
+	c.ServerName = serverName
+	c.InsecureSkipVerify = true // VerifyConnection decides by the fingerprint.
+	return c
+}
+
+func (p *Pinned) config(accept Role, trust Trust, remote net.Addr) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocol},
+		Certificates:           []tls.Certificate{p.certificate},
+		SessionTicketsDisabled: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			role, host, err := Identity(s)
+			if err != nil {
+				return err
+			}
+			if role != accept {
+				return &RoleError{Role: role, Host: host, Accept: []Role{accept}}
+			}
+			if !trust(host, fingerprint(s.PeerCertificates[0].Raw), remote) {
+				return errors.Newf("host %q is not known by its certificate", string(host))
+			}
+			return nil
+		},
+	}
+}
--- a/wire/link/config.go
+++ b/wire/link/config.go
@@ -14,6 +14,9 @@
 
 // Config sets the bounds of connections.
 type Config struct {
+	// LocalIP is the address from which connections are dialed, so that the peer
+	// sees the host's own one. Default: the system's choice.
+	LocalIP string
 	// DialTimeout bounds the time until a new connection is usable. Default: 1 s.
 	DialTimeout time.Duration
 	// ProbeInterval is the time without any message after which a client sends
--- a/wire/link/conn.go
+++ b/wire/link/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,15 +76,21 @@
 func dial(ctx context.Context, address string, t *tls.Config, c Config) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
 	defer cancel()
-	q, err := quic.DialAddr(ctx, address, t, c.quic())
+	socket, err := listenUDP(net.JoinHostPort(c.LocalIP, "0"))
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to %s", address)
+		return nil, errors.Wrapf(err, "open a socket for %s", address)
 	}
-	stream, err := q.OpenStreamSync(ctx)
+	transport := &quic.Transport{Conn: socket}
+	release := func() {
+		_ = transport.Close()
+		_ = socket.Close()
+	}
+	q, stream, err := open(ctx, transport, address, t, c)
 	if err != nil {
-		_ = q.CloseWithError(0, "")
-		return nil, errors.Wrapf(err, "open stream to %s", address)
+		release()
+		return nil, err
 	}
+	context.AfterFunc(q.Context(), release)
 	conn := &Conn{
 		address: address,
 		config:  c,
@@ -99,6 +106,24 @@
 	return conn, nil
 }
 
+// open connects and opens the stream that carries all messages.
+func open(ctx context.Context, transport *quic.Transport, address string, t *tls.Config, c Config) (*quic.Conn, *quic.Stream, error) {
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "address %s", address)
+	}
+	q, err := transport.Dial(ctx, remote, t, c.quic())
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	stream, err := q.OpenStreamSync(ctx)
+	if err != nil {
+		_ = q.CloseWithError(0, "")
+		return nil, nil, errors.Wrapf(err, "open stream to %s", address)
+	}
+	return q, stream, nil
+}
+
 // Address returns the address that was dialed.
 func (c *Conn) Address() string { return c.address }
 
--- a/wire/link/link_test.go
+++ b/wire/link/link_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -191,3 +193,54 @@
 		f.pool = NewPool(DefaultConfig(), f.tls)
 	}
 }
+
+// burst answers each order with many large replies.
+type burst struct {
+	echo
+	queued chan struct{}
+}
+
+const burstReplies = 300
+
+func (b burst) Order(s *Session, o *msg.Order) {
+	defer close(b.queued)
+	text := strings.Repeat("x", 8<<10)
+	for range burstReplies {
+		s.Reply(&msg.Reply{ID: o.ID, Ticket: &msg.Ticket{Ticket: text}})
+	}
+}
+
+// slowReader counts replies and takes its time.
+type slowReader struct {
+	got  atomic.Int64
+	lost chan struct{}
+}
+
+func (r *slowReader) Reply(*msg.Reply) {
+	time.Sleep(time.Millisecond)
+	r.got.Add(1)
+}
+
+func (r *slowReader) Lost(bool, error) { close(r.lost) }
+
+// TestCloseDeliversWhatIsQueued names the pattern "an agent stops when its last
+// answer has ended": the end of the answer is on its way to a busy entry.
+func TestCloseDeliversWhatIsQueued(t *testing.T) {
+	authority, err := keys.NewAuthority(time.Hour)
+	assert.NilError(t, err)
+	agent, dialer := ring(t, authority, keys.RoleAgent), ring(t, authority, keys.RoleEntry)
+	b := burst{queued: make(chan struct{})}
+	server, err := Listen("127.0.0.1:0", agent.Server(keys.RoleEntry), DefaultConfig(), b)
+	assert.NilError(t, err)
+	pool := NewPool(DefaultConfig(), func() *tls.Config { return dialer.Client(keys.RoleAgent) })
+	defer pool.Close()
+	conn, err := pool.Conn(context.Background(), server.Address())
+	assert.NilError(t, err)
+	r := &slowReader{lost: make(chan struct{})}
+	_, err = conn.Send(ticketOrder("a"), r)
+	assert.NilError(t, err)
+	<-b.queued
+	server.Close()
+	<-r.lost
+	assert.Equal(t, r.got.Load(), int64(burstReplies))
+}
--- a/wire/link/server.go
+++ b/wire/link/server.go
@@ -16,8 +16,9 @@
 	"github.com/siskinford/siskinford/wire/msg"
 )
 
-// lingerTime is how long a closing session may take to send what is queued.
-const lingerTime = 500 * time.Millisecond
+// lingerTime is how long a closing session may take to send what is queued, and
+// its peer to read it. Peers on busy hosts take several tenths of a second.
+const lingerTime = 2 * time.Second
 
 // Handler answers orders. Its methods are called on the reader goroutine of a
 // session and must not block.
@@ -182,19 +183,21 @@
 	s.wg.Go(func() {
 		err := session.out.run(stream)
 		if errors.Is(err, ErrReleased) {
-			flush(stream)
+			flush(stream, q)
 		}
 		session.end(err)
 	})
 	session.end(s.read(session, stream))
 }
 
-// flush ends the stream and leaves the peer time to receive it.
-func flush(stream *quic.Stream) {
+// flush ends the stream and leaves the peer time to receive it. A peer closes the
+// connection when it has read the stream to its end; closing it before would drop
+// what it has not received yet.
+func flush(stream *quic.Stream, q *quic.Conn) {
 	_ = stream.Close()
 	select {
-	case <-stream.Context().Done():
-	case <-time.After(lingerTime / 2):
+	case <-q.Context().Done():
+	case <-time.After(lingerTime):
 	}
 }
 
