--- /dev/null
+++ b/entry/direct/endpoints.go
@@ -0,0 +1,125 @@
+package direct
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/upstream"
+)
+
+// Endpoint is one back end as the platform lists it.
+type Endpoint struct {
+	// Name identifies one start of a back end, mostly.
+	Name    id.Endpoint
+	Service id.Service
+	Zone    id.Zone
+	// Address is "ip:port".
+	Address string
+	// Draining endpoints receive no new work.
+	Draining bool
+	// Slots is the number of requests that the endpoint runs at the same time.
+	Slots int
+	// Version is the version of the endpoint's software.
+	Version string
+	// Registered orders the registrations of endpoints. Of several with the same
+	// address only the last one lives.
+	Registered uint64
+	// Cold is how much longer the endpoint stays slow after its start.
+	Cold time.Duration
+}
+
+// Backend is an endpoint with its connections.
+type Backend struct {
+	Name id.Endpoint
+	Pool *upstream.Pool
+
+	mu       sync.Mutex // leaf lock
+	endpoint Endpoint
+}
+
+// Endpoint returns what is known of the endpoint.
+func (b *Backend) Endpoint() Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.endpoint
+}
+
+// Directory holds the endpoints of all services. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.RWMutex // taken before Backend.mu
+	backends map[id.Endpoint]*Backend
+	services map[id.Service][]*Backend
+	source   netip.Addr
+}
+
+// NewDirectory returns an empty directory. Connections to endpoints are opened
+// from the source, or from the operating system's choice if it is not valid.
+func NewDirectory(source netip.Addr) *Directory {
+	return &Directory{backends: make(map[id.Endpoint]*Backend), services: make(map[id.Service][]*Backend), source: source}
+}
+
+// Set replaces the endpoints. Backends that remain keep their connections,
+// unless the address changed.
+func (d *Directory) Set(list []Endpoint) {
+	list = newestAt(list)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := make(map[id.Endpoint]*Backend, len(list))
+	for _, e := range list {
+		next[e.Name] = d.keepOrAdd(e)
+	}
+	for name, b := range d.backends {
+		if next[name] != b {
+			b.Pool.Close()
+		}
+	}
+	d.backends = next
+	d.services = make(map[id.Service][]*Backend)
+	for _, e := range list {
+		d.services[e.Service] = append(d.services[e.Service], next[e.Name])
+	}
+}
+
+// newestAt leaves out the endpoints whose address another one has taken since.
+func newestAt(list []Endpoint) []Endpoint {
+	newest := make(map[string]uint64, len(list))
+	for _, e := range list {
+		newest[e.Address] = max(newest[e.Address], e.Registered)
+	}
+	out := make([]Endpoint, 0, len(list))
+	for _, e := range list {
+		if e.Registered >= newest[e.Address] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (d *Directory) keepOrAdd(e Endpoint) *Backend {
+	b := d.backends[e.Name]
+	if b == nil || b.Endpoint().Address != e.Address || b.Endpoint().Service != e.Service {
+		return &Backend{Name: e.Name, endpoint: e, Pool: upstream.NewPool(upstream.Config{Address: e.Address, Dial: upstream.TCP(d.source)})}
+	}
+	b.mu.Lock()
+	b.endpoint = e
+	b.mu.Unlock()
+	return b
+}
+
+// Service returns the backends of a service. The result must not be changed.
+func (d *Directory) Service(name id.Service) []*Backend {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.services[name]
+}
+
+// Sweep closes connections that have been idle for too long.
+func (d *Directory) Sweep(now time.Time) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, b := range d.backends {
+		b.Pool.Sweep(now)
+	}
+}
--- /dev/null
+++ b/entry/direct/stream_test.go
@@ -0,0 +1,191 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/balance/retry"
+	"github.com/siskinford/siskinford/entry/routes"
+)
+
+func retryNothing() *retry.Window { return retry.NewWindow(retry.WindowConfig{Length: time.Second}) }
+
+var stream = routes.Route{Kind: routes.Streaming, MaxAttempts: 2, Resumable: true}
+
+// wantEvents returns the events from one to another.
+func wantEvents(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString("id: " + itoa(i) + "\ndata: " + itoa(i) + "\n\n")
+	}
+	return b.String()
+}
+
+func itoa(i int) string { return string(rune('0' + i)) }
+
+func TestStreams(t *testing.T) {
+	notResumable := stream
+	notResumable.Resumable = false
+	cases := map[string]struct {
+		route      routes.Route
+		a, b       script
+		last       string
+		wantStatus int
+		want       string
+		wantBroken bool
+		wantTries  int
+	}{
+		"passed on whole":                         {stream, events(5, 0, 0), events(5, 0, 0), "", 200, wantEvents(1, 5), false, 1},
+		"goes on elsewhere after its last event":  {stream, events(6, 3, 0), events(6, 0, 0), "", 200, wantEvents(1, 6), false, 2},
+		"goes on for a client that comes back":    {stream, events(6, 0, 0), events(6, 0, 0), "4", 200, wantEvents(5, 6), false, 1},
+		"breaks off visibly when it cannot go on": {stream, events(6, 3, 0), events(6, 4, 0), "", 200, wantEvents(1, 4), true, 2},
+		"does not go on unless it may":            {notResumable, events(6, 3, 0), events(6, 0, 0), "", 200, wantEvents(1, 3), true, 1},
+		"is not a stream":                         {stream, status(404, "Signed: yes"), status(404, "Signed: yes"), "", 404, "", false, 1},
+		"fails before its first event":            {stream, status(500, "Signed: yes"), events(2, 0, 0), "", 200, wantEvents(1, 2), false, 2},
+		"is refused":                              {stream, status(503, "Not-Run: 1"), status(503, "Not-Run: 1"), "", 503, "", false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", c.a), newBackend(t, "b", c.b)
+			e := newEntry(t, c.route, a, b)
+			e.handler.Service("s").Unreachable("b") // So that a is tried first.
+			header := []string{}
+			if c.last != "" {
+				header = append(header, "Last-Event: "+c.last)
+			}
+			got := e.send(http.MethodPost, header...)
+			assert.Equal(t, got.status, c.wantStatus)
+			if c.want != "" {
+				assert.Equal(t, got.body, c.want)
+			}
+			assert.Equal(t, got.err != nil, c.wantBroken, "%v", got.err)
+			assert.Equal(t, len(a.requests())+len(b.requests()), c.wantTries)
+		})
+	}
+}
+
+// TestSilentStreamGoesOnElsewhere names the pattern "a rank hangs while others go on".
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	silent := func(_ int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Request", r.Header.Get("Request"))
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write([]byte(wantEvents(1, 2)))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	a, b := newBackend(t, "a", silent), newBackend(t, "b", events(9, 0, 100*time.Millisecond))
+	e := newEntry(t, stream, a, b)
+	e.handler.Service("s").Unreachable("a")
+	other := make(chan reply, 1)
+	go func() { other <- e.send(http.MethodPost) }() // Runs at b, whose events go on.
+	time.Sleep(100 * time.Millisecond)
+	e.handler.Service("s").Unreachable("b")
+	e.handler.Service("s").mu.Lock()
+	e.handler.Service("s").intake.Suspect("a", 0)
+	e.handler.Service("s").mu.Unlock()
+	got := e.send(http.MethodPost)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wantEvents(1, 9))
+	assert.Equal(t, len(a.requests()), 1)
+	assert.Equal(t, (<-other).body, wantEvents(1, 9))
+}
+
+func TestClientThatLeavesFreesTheEndpoint(t *testing.T) {
+	left := make(chan struct{})
+	a := newBackend(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+		hang(n, w, r)
+		close(left)
+	})
+	e := newEntry(t, stream, a)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, e.sendBody(ctx, http.MethodPost, "x").err != nil)
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the endpoint still works for a client that has gone")
+	}
+	s := e.handler.Service("s")
+	for range 50 {
+		if _, busy := s.encodeLoads(); !busy {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the slot is still taken")
+}
+
+func TestStreamEndsAtTheRoutesTime(t *testing.T) {
+	route := stream
+	route.Timeout = 250 * time.Millisecond
+	a := newBackend(t, "a", events(9, 0, 100*time.Millisecond))
+	e := newEntry(t, route, a)
+	got := e.send(http.MethodPost)
+	assert.Assert(t, got.err != nil, "a stream that is cut must not look complete")
+	assert.Assert(t, got.took < 600*time.Millisecond)
+}
+
+// TestContinuedStreamRepeatsEvents covers an endpoint that does not go on exactly
+// after the event that it was told.
+func TestContinuedStreamRepeatsEvents(t *testing.T) {
+	from := func(first int) script {
+		return func(_ int, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signed", "yes")
+			w.Header().Set("Request", r.Header.Get("Request"))
+			_, _ = w.Write([]byte(wantEvents(first, 6)))
+		}
+	}
+	for name, c := range map[string]struct {
+		second script
+		want   string
+		broken bool
+	}{
+		"events come twice":   {from(2), wantEvents(1, 6), false},
+		"an event is missing": {from(5), wantEvents(1, 3), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", events(6, 3, 0)), newBackend(t, "b", c.second)
+			e := newEntry(t, stream, a, b)
+			e.handler.Service("s").Unreachable("b")
+			got := e.send(http.MethodPost)
+			assert.Equal(t, got.body, c.want)
+			assert.Equal(t, got.err != nil, c.broken)
+		})
+	}
+}
+
+func TestEventReader(t *testing.T) {
+	cases := map[string]struct {
+		in     string
+		events []string
+		ids    []string
+		whole  bool
+	}{
+		"empty":            {"", nil, nil, true},
+		"two events":       {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, []string{"1", "2"}, true},
+		"carriage returns": {"id:7\r\ndata: a\r\n\r\n", []string{"id:7\r\ndata: a\r\n\r\n"}, []string{"7"}, true},
+		"partial event":    {"id: 1\n\nid: 2\ndata: b\n", []string{"id: 1\n\n"}, []string{"1"}, false},
+		"partial line":     {"id: 1\n\nid", []string{"id: 1\n\n"}, []string{"1"}, false},
+		"long line":        {"data: " + strings.Repeat("x", 9000) + "\n\n", []string{"data: " + strings.Repeat("x", 9000) + "\n\n"}, []string{""}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newEventReader(strings.NewReader(c.in))
+			for i, want := range c.events {
+				got, eventID, err := r.next()
+				assert.NilError(t, err)
+				assert.Equal(t, string(got), want)
+				assert.Equal(t, eventID, c.ids[i])
+			}
+			_, _, err := r.next()
+			assert.Equal(t, err != errPartialEvent, c.whole, "%v", err)
+		})
+	}
+}
--- /dev/null
+++ b/entry/direct/whole_test.go
@@ -0,0 +1,194 @@
+package direct
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/entry/routes"
+)
+
+var (
+	safe   = routes.Route{Kind: routes.Idempotent, MaxAttempts: 2}
+	unsafe = routes.Route{Kind: routes.NonIdempotent, MaxAttempts: 2}
+)
+
+func TestWholeAnswers(t *testing.T) {
+	refusal := status(503, "Not-Run: 1")
+	cases := map[string]struct {
+		route         routes.Route
+		first, second script
+		wantStatus    int
+		wantBody      string
+		// wantTries counts the requests at both endpoints.
+		wantTries int
+	}{
+		"answered":                     {safe, ok("a"), ok("a"), 200, "a", 1},
+		"a refusal is tried elsewhere": {unsafe, refusal, refusal, 503, "", 2},
+		"a failure of an idempotent request is tried elsewhere":     {safe, status(500, "Signed: yes"), status(500, "Signed: yes"), 500, "", 2},
+		"a failure of a non-idempotent request is passed on":        {unsafe, status(500, "Signed: yes"), status(500, "Signed: yes"), 500, "", 1},
+		"a cut answer of an idempotent request is tried elsewhere":  {safe, cutOff(""), cutOff(""), 502, "", 2},
+		"a cut answer of a non-idempotent request promises nothing": {unsafe, cutOff(""), cutOff(""), 502, "", 1},
+		"an unmarked 503 promises nothing":                          {unsafe, status(503), status(503), 502, "", 1},
+		"an unmarked 429 promises nothing":                          {unsafe, status(429), status(429), 502, "", 1},
+		"another instance does not run the request":                 {unsafe, status(421), status(421), 503, "", 2},
+		"an answer without signature is none":                       {unsafe, status(200), status(200), 502, "", 1},
+		"an answer of another request is none":                      {unsafe, status(200, "Signed: yes", "Request: other"), status(200, "Signed: yes", "Request: other"), 502, "", 1},
+		"an encoded answer is none":                                 {unsafe, status(200, "Signed: yes", "Content-Encoding: gzip"), status(200, "Signed: yes", "Content-Encoding: gzip"), 502, "", 1},
+		"a failure of the client is passed on":                      {safe, status(404, "Signed: yes"), status(404, "Signed: yes"), 404, "", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", c.first), newBackend(t, "b", c.second)
+			e := newEntry(t, c.route, a, b)
+			got := e.send(http.MethodPost)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.wantStatus, got.body)
+			if c.wantBody != "" {
+				assert.Equal(t, got.body, c.wantBody)
+			}
+			assert.Equal(t, len(a.requests())+len(b.requests()), c.wantTries)
+			if c.wantStatus == http.StatusServiceUnavailable {
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				assert.Assert(t, after > 0)
+			}
+			if c.wantStatus == http.StatusBadGateway {
+				assert.Equal(t, got.header.Get("Signed"), "", "the entry's own failure bears no signature")
+			}
+		})
+	}
+}
+
+func TestOneAttemptOnlyIfTheRouteSaysSo(t *testing.T) {
+	a, b := newBackend(t, "a", status(503, "Not-Run: 1")), newBackend(t, "b", status(503, "Not-Run: 1"))
+	e := newEntry(t, routes.Route{Kind: routes.NonIdempotent, MaxAttempts: 1}, a, b)
+	got := e.send(http.MethodPost)
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, len(a.requests())+len(b.requests()), 1)
+}
+
+// TestGETIsNotRepeatedByItsMethod: the kind of the route decides, not the method.
+func TestGETIsNotRepeatedByItsMethod(t *testing.T) {
+	a, b := newBackend(t, "a", cutOff("")), newBackend(t, "b", cutOff(""))
+	e := newEntry(t, unsafe, a, b)
+	got := e.sendBody(t.Context(), http.MethodGet, "")
+	assert.Equal(t, got.status, 502)
+	assert.Equal(t, len(a.requests())+len(b.requests()), 1)
+}
+
+func TestWhatTheEndpointIsTold(t *testing.T) {
+	a := newBackend(t, "a", ok("x"))
+	e := newEntry(t, safe, a)
+	got := e.send(http.MethodPost, "Patience: 1000", "Connection: X-Hop", "X-Hop: 1", "X-Kept: 2", "Team: forged")
+	assert.Equal(t, got.status, 200)
+	h := a.requests()[0]
+	assert.Equal(t, h.Get("Only"), "a")
+	assert.Equal(t, h.Get("Team"), "team-a")
+	assert.Equal(t, h.Get("Key"), "")
+	assert.Equal(t, h.Get("X-Hop"), "")
+	assert.Equal(t, h.Get("X-Kept"), "2")
+	left, err := strconv.Atoi(h.Get("Patience"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 500 && left <= 1000, "left %d ms", left)
+}
+
+func TestRejections(t *testing.T) {
+	a := newBackend(t, "a", ok("x"))
+	e := newEntry(t, safe, a)
+	assert.Equal(t, e.send(http.MethodPost, "Key: unknown").status, http.StatusUnauthorized)
+	assert.Equal(t, e.sendBody(t.Context(), http.MethodPost, string(make([]byte, 1001))).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, len(a.requests()), 0)
+	empty := NewHandler(e.handler.opt)
+	e.server.Config.Handler = empty
+	got := e.send(http.MethodPost)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+func TestTimeIsOver(t *testing.T) {
+	t.Run("at the endpoint, nothing is promised", func(t *testing.T) {
+		a := newBackend(t, "a", hang)
+		e := newEntry(t, unsafe, a)
+		got := e.send(http.MethodPost, "Patience: 150")
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		assert.Assert(t, got.took < time.Second)
+	})
+	t.Run("the route's time counts as well", func(t *testing.T) {
+		a := newBackend(t, "a", hang)
+		e := newEntry(t, routes.Route{Kind: routes.NonIdempotent, Timeout: 150 * time.Millisecond}, a)
+		got := e.send(http.MethodPost, "Patience: 9000")
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		assert.Assert(t, got.took < time.Second)
+	})
+	t.Run("a silent endpoint leaves time for another", func(t *testing.T) {
+		a, b := newBackend(t, "a", hang), newBackend(t, "b", ok("b"))
+		e := newEntry(t, routes.Route{Kind: routes.Idempotent, MaxAttempts: 2, Target: 50 * time.Millisecond}, a, b)
+		e.handler.Service("s").Unreachable("b") // So that a is tried first.
+		got := e.send(http.MethodPost, "Patience: 2000")
+		assert.Equal(t, got.status, 200)
+		assert.Equal(t, got.body, "b")
+	})
+}
+
+func TestUnreachableEndpointIsNoAttempt(t *testing.T) {
+	a, b := newBackend(t, "a", ok("a")), newBackend(t, "b", ok("b"))
+	a.server.Close()
+	e := newEntry(t, routes.Route{Kind: routes.NonIdempotent, MaxAttempts: 1}, a, b)
+	for range 5 {
+		got := e.send(http.MethodPost)
+		assert.Equal(t, got.status, 200)
+		assert.Equal(t, got.body, "b")
+	}
+}
+
+func TestBudgetOfRepeats(t *testing.T) {
+	a, b := newBackend(t, "a", status(500, "Signed: yes")), newBackend(t, "b", status(500, "Signed: yes"))
+	e := newEntry(t, safe, a, b)
+	e.handler.Service("s").window = retryNothing()
+	assert.Equal(t, e.send(http.MethodPost).status, 500)
+	assert.Equal(t, len(a.requests())+len(b.requests()), 1)
+}
+
+// TestGroupDownGetsTrials names the pattern "a rank is lost": the other ranks
+// would refuse a request as well, and each try counts, so that one request at a
+// time finds out whether the group is back. It takes the place of a test that
+// refused the request at the first such answer.
+func TestGroupDownGetsTrials(t *testing.T) {
+	t.Run("a group that stays down", func(t *testing.T) {
+		down := status(503, "Not-Run: 1", "At-Fault: c")
+		a, b := newBackend(t, "a", down), newBackend(t, "b", down)
+		e := newEntry(t, safe, a, b)
+		const together = 20
+		began := time.Now()
+		for _, got := range e.sendTogether(together) {
+			assert.Equal(t, got.status, 503)
+		}
+		trials := int(time.Since(began)/(150*time.Millisecond)) + 1
+		assert.Assert(t, len(a.requests())+len(b.requests()) <= trials+together, "%d and %d requests", len(a.requests()), len(b.requests()))
+		e.send(http.MethodPost)
+		assert.Assert(t, len(a.requests())+len(b.requests()) <= trials+together+1+maxTrials)
+	})
+	t.Run("a group that returns", func(t *testing.T) {
+		var up atomic.Bool
+		a := newBackend(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+			if up.Load() {
+				ok("a")(n, w, r)
+				return
+			}
+			status(503, "Not-Run: 1", "At-Fault: c")(n, w, r)
+		})
+		e := newEntry(t, safe, a)
+		assert.Equal(t, e.send(http.MethodPost, "Patience: 100").status, 503)
+		refused := len(a.requests())
+		time.AfterFunc(500*time.Millisecond, func() { up.Store(true) })
+		for _, got := range e.sendTogether(4) {
+			assert.Equal(t, got.status, 200, got.body)
+		}
+		assert.Assert(t, len(a.requests()) <= refused+4+5, "%d requests, %d before", len(a.requests()), refused)
+	})
+}
--- /dev/null
+++ b/entry/edge/clients.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/entry/routes"
+)
+
+// clientServer serves clients within the limits of the configuration, which may
+// change while connections are open.
+type clientServer struct {
+	server   *http.Server
+	log      zerolog.Logger
+	draining atomic.Bool
+	limits   atomic.Pointer[routes.Limits]
+
+	mu    sync.Mutex             // leaf lock
+	conns map[net.Conn]time.Time // since when each is idle; zero while it is active
+}
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration is known.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+func newClientServer(h http.Handler, log zerolog.Logger) *clientServer {
+	c := &clientServer{log: log, conns: make(map[net.Conn]time.Time)}
+	c.limits.Store(&routes.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	c.server = &http.Server{
+		Handler:   c.wrap(h),
+		ConnState: c.track,
+		// The idle timeout is enforced by sweep, as it may change.
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       -1,
+		ErrorLog:          nil,
+	}
+	return c
+}
+
+// setLimits brings the limits of a configuration into force. The bounds of the
+// header hold for connections that are opened later.
+func (c *clientServer) setLimits(l routes.Limits) { c.limits.Store(&l) }
+
+// wrap tells clients how long a connection may stay idle.
+func (c *clientServer) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.draining.Load() {
+			w.Header().Set("Connection", "close")
+		} else if idle := c.limits.Load().IdleTimeout; idle >= time.Second {
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (c *clientServer) track(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateNew, http.StateIdle:
+		c.conns[conn] = time.Now()
+	case http.StateActive:
+		c.conns[conn] = time.Time{}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.conns, conn)
+	}
+}
+
+// sweep closes the connections that have been idle for longer than permitted.
+func (c *clientServer) sweep(now time.Time) {
+	idle := c.limits.Load().IdleTimeout
+	if idle <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.conns {
+		if !since.IsZero() && now.Sub(since) > idle {
+			_ = conn.Close()
+		}
+	}
+}
+
+// drain asks clients to close their connections after the next answer.
+func (c *clientServer) drain() { c.draining.Store(true) }
--- /dev/null
+++ b/entry/edge/control.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/siskinford/siskinford/core/ops"
+)
+
+// controlTimeout bounds the header of an operator's request.
+const controlTimeout = 5 * time.Second
+
+// startControl serves operators and collectors of metrics.
+func (e *Edge) startControl() error {
+	r := chi.NewRouter()
+	ops.Routes(r, e.set, e.notReady)
+	e.control = &http.Server{Handler: r, ReadHeaderTimeout: controlTimeout}
+	e.gauges()
+	for _, address := range []string{e.cfg.Control, e.cfg.Metrics} {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen for operators")
+		}
+		go e.serve(e.control, l)
+	}
+	return nil
+}
+
+// notReady tells why the entry does not accept work, empty if it does.
+func (e *Edge) notReady() string {
+	switch {
+	case e.leaving.Load():
+		return "the entry is leaving"
+	case e.handler.Table() == nil:
+		return "no configuration is known yet"
+	}
+	return ""
+}
+
+// gauges registers what is read when metrics are collected.
+func (e *Edge) gauges() {
+	e.set.NewGauge("siskinford_entries_in_touch", func() float64 { return float64(len(e.mesh.Alive())) })
+	e.set.NewGauge("siskinford_entries_registered", func() float64 { return float64(e.mesh.Known()) })
+	e.set.NewGauge("siskinford_configuration_version", func() float64 { return float64(e.values.versions()[topicConfig]) })
+	e.set.NewGauge("siskinford_endpoints_revision", func() float64 { return float64(e.values.versions()[topicEndpoints]) })
+	e.set.NewGauge("siskinford_platform_available", func() float64 {
+		if e.store.Available() {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/entry/edge/maps.go
@@ -0,0 +1,301 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/direct"
+	"github.com/siskinford/siskinford/entry/expertmaps"
+	"github.com/siskinford/siskinford/entry/ranklink"
+	"github.com/siskinford/siskinford/entry/roster"
+	"github.com/siskinford/siskinford/entry/routes"
+	"github.com/siskinford/siskinford/fleet/duty"
+	"github.com/siskinford/siskinford/fleet/mesh"
+	"github.com/siskinford/siskinford/fleet/rendezvous"
+)
+
+const (
+	// scouts is the number of entries that keep the roster of a service, one more
+	// than needed.
+	scouts = 2
+	// candidates is the number of entries that may decide on the maps of a group.
+	// Those of a small fleet all may.
+	candidates = 4
+	// assignInterval is the time between looks at who does what, about that in
+	// which a new roster is spread.
+	assignInterval = 100 * time.Millisecond
+)
+
+// maps keeps, for each service whose engines are ranks of groups, the roster, a
+// watch of the groups' state, and coordinators of expert maps as far as they fall
+// to this entry.
+type maps struct {
+	edge *Edge
+
+	mu      sync.Mutex // taken before the locks of a book and of the mesh
+	of      map[id.Service]*service
+	stopped bool
+	wg      sync.WaitGroup
+}
+
+// service is the work for the groups of one service.
+type service struct {
+	name   id.Service
+	engine routes.Engine
+	book   *roster.Book
+	ctx    context.Context
+	cancel context.CancelFunc
+	// scout is nil unless the entry is a scout.
+	scout  context.CancelFunc
+	groups map[id.Group]*coordinated
+}
+
+// coordinated is a group that this entry may decide on.
+type coordinated struct {
+	*expertmaps.Coordinator
+	cancel context.CancelFunc
+}
+
+// apply starts and stops the work for services as the configuration asks.
+func (m *maps) apply(t *routes.Table) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := make(map[id.Service]*routes.Engine)
+	for _, s := range t.Services() {
+		if s.Engine != nil && s.Engine.Experts != nil && !m.stopped {
+			wanted[s.Name] = s.Engine
+		}
+	}
+	for name, s := range m.of {
+		if e := wanted[name]; e == nil || !reflect.DeepEqual(*e, s.engine) {
+			s.cancel()
+			delete(m.of, name)
+		}
+	}
+	for name, e := range wanted {
+		if m.of[name] == nil {
+			m.start(name, e)
+		}
+	}
+}
+
+// start begins to work for a service. The caller holds mu.
+func (m *maps) start(name id.Service, engine *routes.Engine) {
+	e := m.edge
+	s := &service{name: name, engine: *engine, book: roster.NewBook(e.mesh.Changed), groups: make(map[id.Group]*coordinated)}
+	s.ctx, s.cancel = context.WithCancel(e.ctx)
+	m.of[name] = s
+	if state := e.handler.Service(name); state != nil {
+		w := direct.GroupWatch{
+			Service: state, Host: e.cfg.Host, Near: e.cfg.Zone, Source: e.cfg.Source, Log: e.log, Roster: s.book,
+			List: func() map[ranklink.Endpoint]id.Zone { return e.ranks(name) },
+		}
+		m.wg.Go(func() { w.Run(s.ctx) })
+	}
+}
+
+// run assigns work until ctx ends.
+func (m *maps) run(ctx context.Context) {
+	t := time.NewTicker(assignInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		hosts := m.edge.mesh.Hosts()
+		m.mu.Lock()
+		for _, s := range m.of {
+			m.assign(s, hosts)
+		}
+		m.mu.Unlock()
+	}
+}
+
+// falls reports whether a duty falls to this entry as one of the first few.
+func (m *maps) falls(to string, hosts []id.Host, first int) bool {
+	ranked := rendezvous.Rank(to, hosts)
+	return slices.Contains(ranked[:min(first, len(ranked))], m.edge.cfg.Host)
+}
+
+// assign starts and stops what falls to this entry. A coordinator that acts goes
+// on. The caller holds mu.
+func (m *maps) assign(s *service, hosts []id.Host) {
+	switch scout := m.falls("scout."+string(s.name), hosts, scouts); {
+	case scout && s.scout == nil:
+		m.startScout(s)
+	case !scout && s.scout != nil:
+		s.scout()
+		s.scout = nil
+	}
+	groups := s.book.Groups()
+	for _, group := range groups {
+		if s.groups[group] == nil && m.falls(string(expertmaps.DutyOf(s.name, group)), hosts, candidates) {
+			m.startCoordinator(s, group)
+		}
+	}
+	for group, c := range s.groups {
+		falls := slices.Contains(groups, group) && m.falls(string(expertmaps.DutyOf(s.name, group)), hosts, candidates)
+		if !falls && c.Claim() == 0 {
+			c.cancel()
+			delete(s.groups, group)
+		}
+	}
+}
+
+func (m *maps) startScout(s *service) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.scout = cancel
+	x := roster.Scout{
+		Book: s.book, Host: m.edge.cfg.Host, Source: m.edge.cfg.Source, Direct: m.edge.adapter.Engine,
+		List: func() []ranklink.Endpoint { return m.edge.ranksOf(s, func(id.Group) bool { return true }) },
+	}
+	m.wg.Go(func() { x.Run(ctx) })
+}
+
+func (m *maps) startCoordinator(s *service, group id.Group) {
+	e := m.edge
+	c, err := expertmaps.New(expertmaps.Options{
+		Service: s.name, Group: group, Holder: holderName(e.self.Host, e.self.Incarnation), Store: e.store, Peers: holders{e},
+		Engine: &s.engine, Source: e.cfg.Source, Direct: e.adapter.Engine,
+		// A rank without a seat may be a new one of this group.
+		List: func() []ranklink.Endpoint {
+			return e.ranksOf(s, func(g id.Group) bool { return g == group || g == "" })
+		},
+		Log: e.log, Metrics: e.set,
+	})
+	if err != nil {
+		e.log.Error().Err(err).Str("event", "maps.not_coordinated").Str("service", string(s.name)).Send()
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.groups[group] = &coordinated{c, cancel}
+	m.wg.Go(func() { c.Run(ctx) })
+}
+
+// stop ends all work, so that other entries can take the leases at once.
+func (m *maps) stop() {
+	m.mu.Lock()
+	m.stopped = true
+	for name, s := range m.of {
+		s.cancel()
+		delete(m.of, name)
+	}
+	m.mu.Unlock()
+	m.wg.Wait()
+}
+
+// claimed returns the leases under which this entry acts.
+func (m *maps) claimed() map[duty.Name]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[duty.Name]uint64)
+	for _, s := range m.of {
+		for group, c := range s.groups {
+			if epoch := c.Claim(); epoch != 0 {
+				out[expertmaps.DutyOf(s.name, group)] = epoch
+			}
+		}
+	}
+	return out
+}
+
+// rosterTopic begins the names of the topics of rosters.
+const rosterTopic = "roster."
+
+// book returns the roster that a topic names, or nil.
+func (m *maps) book(t mesh.Topic) *roster.Book {
+	name, ok := strings.CutPrefix(string(t), rosterTopic)
+	if !ok {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.of[id.Service(name)]; s != nil {
+		return s.book
+	}
+	return nil
+}
+
+// addVersions adds the versions of the rosters.
+func (m *maps) addVersions(to map[mesh.Topic]uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, s := range m.of {
+		to[mesh.Topic(rosterTopic+string(name))] = s.book.Version()
+	}
+}
+
+// ranks lists the endpoints of a service with their relays and zones.
+func (e *Edge) ranks(name id.Service) map[ranklink.Endpoint]id.Zone {
+	out := make(map[ranklink.Endpoint]id.Zone)
+	for _, b := range e.handler.Directory().Service(name) {
+		ep := b.Endpoint()
+		address, err := netip.ParseAddrPort(ep.Address)
+		if err != nil {
+			continue // The catalog accepts no such address.
+		}
+		out[ranklink.Endpoint{
+			Name: ep.Name, Address: ep.Address,
+			Relay: netip.AddrPortFrom(address.Addr(), e.cfg.RelayPort).String(),
+		}] = ep.Zone
+	}
+	return out
+}
+
+// ranksOf lists the endpoints of a service by their group, which is empty for those
+// without a seat in the roster.
+func (e *Edge) ranksOf(s *service, group func(id.Group) bool) []ranklink.Endpoint {
+	seats := s.book.Seats()
+	var out []ranklink.Endpoint
+	for ep := range e.ranks(s.name) {
+		if group(seats[ep.Name].Group) {
+			out = append(out, ep)
+		}
+	}
+	return out
+}
+
+// holderName names an incarnation of a host as the holder of a lease.
+func holderName(host id.Host, incarnation id.Incarnation) string {
+	return string(host) + "/" + string(incarnation)
+}
+
+// holders tells what the entry knows of the holders of leases.
+type holders struct{ edge *Edge }
+
+// Acting implements expertmaps.Peers.
+func (h holders) Acting(holder string, d duty.Name) bool { return h.edge.states.acting(holder, d) }
+
+// goneAfter is the silence after which the holder of a lease is taken to be gone,
+// goneIntervals exchanges at least. Two holders at a time do no harm; a group that
+// a lost one holds must be free soon.
+const (
+	goneAfter     = 800 * time.Millisecond
+	goneIntervals = 3
+)
+
+// Gone implements expertmaps.Peers: a host that started again has ended before,
+// and one that is silent is as good as gone.
+func (h holders) Gone(holder string) bool {
+	host, incarnation, _ := strings.Cut(holder, "/")
+	current := h.edge.mesh.Current(id.Host(host))
+	if current != "" && string(current) != incarnation {
+		return true
+	}
+	silence, known := h.edge.mesh.Silence(id.Host(host), id.Incarnation(incarnation))
+	if !known {
+		silence, known = h.edge.states.silence(holder)
+	}
+	return known && silence > h.edge.states.lasts(goneAfter, goneIntervals)
+}
+
+// Claimed implements expertmaps.Peers.
+func (h holders) Claimed(d duty.Name) uint64 { return h.edge.states.claimed(d) }
--- /dev/null
+++ b/entry/expertmaps/session.go
@@ -0,0 +1,211 @@
+package expertmaps
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/balance/mapswitch"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/ranklink"
+	"github.com/siskinford/siskinford/entry/routes"
+	"github.com/siskinford/siskinford/wire/relay"
+)
+
+// session decides on the maps of a group while the entry holds the lease. Its
+// goroutine owns all state.
+type session struct {
+	cfg    Config
+	of     id.Group
+	engine *routes.Engine
+	lease  uint64
+	log    zerolog.Logger
+	set    *metrics.Set
+	list   func() []ranklink.Endpoint
+	direct func(address string) relay.Engine
+	source netip.Addr
+
+	events chan ranklink.Event
+	links  map[id.Endpoint]*ranklink.Link
+	// layouts holds what each rank last told.
+	layouts map[*ranklink.Link]relay.Layout
+	groups  map[id.Group]*group
+	// asked maps the IDs of orders at the links to the machines' own.
+	asked     map[uint64]asked
+	nextOrder uint64
+}
+
+type asked struct {
+	group *group
+	id    uint64
+	sent  time.Duration
+}
+
+const (
+	// eventQueue bounds the events that wait for the session.
+	eventQueue = 256
+	// listInterval is the time between looks at the list of endpoints.
+	listInterval = 200 * time.Millisecond
+	// tickInterval drives repeated orders. It is a quarter of the time after
+	// which an order is repeated.
+	tickInterval = 10 * time.Millisecond
+	// idleTick replaces tickInterval while nothing is under way.
+	idleTick = 50 * time.Millisecond
+	// forgetOrder is the time after which the answer to an order no longer counts.
+	forgetOrder = 20 * time.Second
+)
+
+func (s *session) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := time.Now()
+	listed := -listInterval
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.events:
+			s.handle(e, time.Since(began))
+		case <-timer.C:
+		}
+		now := time.Since(began)
+		if now-listed >= listInterval {
+			listed = now
+			s.relist(ctx, now)
+		}
+		if s.advance(now) {
+			timer.Reset(tickInterval)
+		} else {
+			timer.Reset(idleTick)
+		}
+	}
+}
+
+// relist opens links to new endpoints and ends those to endpoints that are gone.
+func (s *session) relist(ctx context.Context, now time.Duration) {
+	known := make(map[id.Endpoint]bool)
+	for _, e := range s.list() {
+		known[e.Name] = true
+		if l := s.links[e.Name]; l != nil && l.Endpoint() == e {
+			continue
+		} else if l != nil {
+			s.close(l)
+		}
+		s.links[e.Name] = ranklink.Open(ctx, ranklink.Options{
+			Endpoint: e, Source: s.source, Direct: s.direct, Events: s.events, Report: s.report,
+			Watch: relay.Watch{
+				StateMillis:  int(s.cfg.StateInterval.Milliseconds()),
+				SampleMillis: int(s.cfg.SampleInterval.Milliseconds()),
+			},
+		})
+	}
+	for name, l := range s.links {
+		if !known[name] {
+			s.close(l)
+			delete(s.links, name)
+		}
+	}
+	for n, a := range s.asked {
+		if now-a.sent > forgetOrder {
+			delete(s.asked, n)
+		}
+	}
+}
+
+func (s *session) close(l *ranklink.Link) {
+	l.Close()
+	delete(s.layouts, l)
+}
+
+func (s *session) report(l *ranklink.Link, what string, err error) {
+	s.log.Info().Err(err).Str("event", what).Str("endpoint", string(l.Endpoint().Name)).Str("relay", l.Endpoint().Relay).Send()
+}
+
+// maxRanks bounds what a report may claim of the size of its group, far above the
+// 64 ranks of the largest groups planned.
+const maxRanks = 4096
+
+func (s *session) handle(e ranklink.Event, now time.Duration) {
+	switch {
+	case e.State != nil:
+		if e.State.Group != s.of || e.State.Size < 1 || e.State.Size > maxRanks {
+			return
+		}
+		s.group(e.State.Group, e.State.Size).onState(e.Link, e.State, now)
+		s.groups[e.State.Group].learn(s.layouts)
+	case e.Layout != nil:
+		s.layouts[e.Link] = *e.Layout
+		for _, g := range s.groups {
+			g.learn(s.layouts)
+		}
+	case e.Sample != nil:
+		for _, g := range s.groups {
+			if g.rankOf(e.Link) >= 0 {
+				g.onSample(e.Link, e.Sample, now)
+			}
+		}
+	case e.Result != nil:
+		a, ok := s.asked[e.Result.ID]
+		if !ok {
+			return
+		}
+		delete(s.asked, e.Result.ID)
+		s.onResult(a, e.Result, now)
+	}
+}
+
+func (s *session) onResult(a asked, r *relay.Result, now time.Duration) {
+	outcome := mapswitch.Unknown
+	switch r.Outcome {
+	case relay.Done:
+		outcome = mapswitch.Done
+	case relay.Conflict:
+		outcome = mapswitch.Conflict
+	default:
+		s.log.Warn().Str("event", "map.order_failed").Str("outcome", string(r.Outcome)).Str("detail", r.Detail).Send()
+	}
+	a.group.machine.Result(a.id, outcome, now)
+}
+
+func (s *session) group(name id.Group, size int) *group {
+	g := s.groups[name]
+	if g == nil || g.size != size {
+		g = newGroup(s, name, size)
+		s.groups[name] = g
+	}
+	return g
+}
+
+// advance sends the orders that are due. It is true while a change is under way.
+func (s *session) advance(now time.Duration) bool {
+	busy := false
+	for _, g := range s.groups {
+		for _, o := range g.advance(now) {
+			s.send(g, o, now)
+		}
+		busy = busy || g.machine.Phase() != mapswitch.Idle
+	}
+	return busy
+}
+
+var ops = map[mapswitch.Op]relay.Op{
+	mapswitch.Prepare: relay.Prepare, mapswitch.Arm: relay.Arm, mapswitch.Disarm: relay.Disarm,
+	mapswitch.Hold: relay.Hold, mapswitch.Release: relay.Release,
+}
+
+func (s *session) send(g *group, o mapswitch.Order, now time.Duration) {
+	l := g.ranks[o.Rank].link
+	if l == nil {
+		return
+	}
+	s.nextOrder++
+	s.asked[s.nextOrder] = asked{group: g, id: o.ID, sent: now}
+	l.Send(relay.Order{
+		ID: s.nextOrder, Op: ops[o.Op], Epoch: o.Epoch, Version: o.Version, Step: o.Step, Experts: o.Map, Fence: s.lease,
+	})
+}
--- a/entry/groups/groups.go
+++ b/entry/groups/groups.go
@@ -18,13 +18,13 @@
 	"github.com/siskinford/siskinford/entry/coordinator"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/duty"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/wire/link"
 )
 
 // Deps are the parts that a Manager works with.
 type Deps struct {
-	Store platform.Store
+	Store objectapi.Store
 	// Pool connects to agents.
 	Pool *link.Pool
 	// Live returns the live entry hosts of the zone, the own included. It does not block.
--- a/entry/groups/lease_test.go
+++ b/entry/groups/lease_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/duty"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	"github.com/siskinford/siskinford/fleet/rendezvous"
 )
 
-func newTestLeases(t *testing.T, store platform.Store, self id.Host, live []id.Host) *leases {
+func newTestLeases(t *testing.T, store objectapi.Store, self id.Host, live []id.Host) *leases {
 	t.Helper()
 	l, err := duty.NewLease(duty.LeaseConfig{Store: store, Duty: "group/g", Holder: string(self), TTL: time.Minute})
 	assert.NilError(t, err)
--- a/entry/hosts/hosts.go
+++ b/entry/hosts/hosts.go
@@ -12,7 +12,7 @@
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/wire/codec"
 )
@@ -38,7 +38,7 @@
 	Self() member.Peer
 	Live() []member.Peer
 	Duty(key string) bool
-	SetHints(list []platform.Host)
+	SetHints(list []objectapi.Host)
 }
 
 // Duty is the key of the duty to read the list for the zone.
@@ -46,7 +46,7 @@
 
 // Deps are the parts that a Watcher works with.
 type Deps struct {
-	Store    platform.Store
+	Store    objectapi.Store
 	Members  Members
 	Caller   transport.Caller
 	Recorder timeline.Recorder
@@ -110,7 +110,7 @@
 	w.deps.Members.SetHints(list)
 	var leaving []id.Host
 	for _, h := range list {
-		if h.State == platform.HostLeaving {
+		if h.State == objectapi.HostLeaving {
 			leaving = append(leaving, h.Name)
 		}
 	}
--- a/entry/limits/exchange.go
+++ b/entry/limits/exchange.go
@@ -12,7 +12,7 @@
 	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/duty"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/wire/codec"
 )
@@ -28,7 +28,7 @@
 
 // Deps are the parts that Limits works with.
 type Deps struct {
-	Store   platform.Store
+	Store   objectapi.Store
 	Members Members
 	Caller  transport.Caller
 	Metrics *metrics.Set
--- a/entry/limits/world_test.go
+++ b/entry/limits/world_test.go
@@ -16,8 +16,8 @@
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	"github.com/siskinford/siskinford/wire/codec"
 )
 
@@ -55,9 +55,9 @@
 	answer   bool
 }
 
-// node is one entry. It implements Members, transport.Caller and platform.Store.
+// node is one entry. It implements Members, transport.Caller and objectapi.Store.
 type node struct {
-	platform.Store
+	objectapi.Store
 	w      *world
 	zone   id.Zone
 	peer   member.Peer
@@ -171,18 +171,18 @@
 	return out
 }
 
-// Get implements platform.Store.
-func (n *node) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (n *node) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	if n.w.down {
-		return platform.Object{}, &platform.UnavailableError{Cause: errLost}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errLost}
 	}
 	return n.w.store.Get(ctx, kind, name)
 }
 
-// Put implements platform.Store.
-func (n *node) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+// Put implements objectapi.Store.
+func (n *node) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	if n.w.down {
-		return platform.Object{}, &platform.UnavailableError{Cause: errLost}
+		return objectapi.Object{}, &objectapi.UnavailableError{Cause: errLost}
 	}
 	return n.w.store.Put(ctx, o)
 }
--- a/entry/operator/apply.go
+++ b/entry/operator/apply.go
@@ -13,7 +13,7 @@
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/operate/answer"
 	"github.com/siskinford/siskinford/operate/change"
 	"github.com/siskinford/siskinford/operate/lang"
@@ -65,20 +65,20 @@
 // version in force when the platform is unavailable.
 func (s *Service) base(ctx context.Context, kind config.Kind, dryRun bool) (base, error) {
 	o, err := s.deps.Store.Get(ctx, config.ObjectKind, string(kind))
-	var absent *platform.NotFoundError
+	var absent *objectapi.NotFoundError
 	switch {
 	case errors.As(err, &absent):
 		return base{}, nil
 	case err != nil && dryRun:
 		n := s.deps.Snapshot()
-		o = platform.Object{Version: n.Version(kind), Value: n.Value(kind)}
+		o = objectapi.Object{Version: n.Version(kind), Value: n.Value(kind)}
 	case err != nil:
 		return base{}, errors.Wrap(err, "nothing was changed")
 	}
 	return s.decode(kind, o)
 }
 
-func (s *Service) decode(kind config.Kind, o platform.Object) (base, error) {
+func (s *Service) decode(kind config.Kind, o objectapi.Object) (base, error) {
 	if len(o.Value) == 0 {
 		return base{}, nil
 	}
@@ -97,7 +97,7 @@
 	})
 	var findings finding.List
 	var race *config.LostRaceError
-	var unknown *platform.OutcomeUnknownError
+	var unknown *objectapi.OutcomeUnknownError
 	switch {
 	case err == nil:
 		reply.Plan.State, reply.Plan.Version = answer.Accepted, accepted.Version
@@ -131,7 +131,7 @@
 // raced tells who changed what since the version that the operator saw.
 func (s *Service) raced(ctx context.Context, kind config.Kind, seen uint64) *answer.Reply {
 	o, err := s.deps.Store.Get(ctx, config.ObjectKind, string(kind))
-	var absent *platform.NotFoundError
+	var absent *objectapi.NotFoundError
 	if err != nil && !errors.As(err, &absent) {
 		return &answer.Reply{Error: fmt.Sprintf("nothing was changed: %s is not at version %d any more: %v", kind, seen, err)}
 	}
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -19,22 +19,22 @@
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/entry/dispatch"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	"github.com/siskinford/siskinford/operate/answer"
 	"github.com/siskinford/siskinford/operate/lang"
 	"github.com/siskinford/siskinford/operate/table"
 )
 
 // lostAnswer is a store whose writes take effect but are not answered.
-type lostAnswer struct{ platform.Store }
+type lostAnswer struct{ objectapi.Store }
 
-func (s lostAnswer) Put(ctx context.Context, o platform.Object) (platform.Object, error) {
+func (s lostAnswer) Put(ctx context.Context, o objectapi.Object) (objectapi.Object, error) {
 	_, err := s.Store.Put(ctx, o)
-	return platform.Object{}, &platform.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: err}
+	return objectapi.Object{}, &objectapi.OutcomeUnknownError{Kind: o.Kind, Name: o.Name, Cause: err}
 }
 
-func newService(t *testing.T) (*Service, platform.Store) {
+func newService(t *testing.T) (*Service, objectapi.Store) {
 	t.Helper()
 	store := memstore.New(memstore.Config{})
 	s := New(Deps{Host: "entry-0", Store: store, Recorder: timeline.Discard, Snapshot: config.NewSnapshot})
--- a/entry/operator/protocol.go
+++ b/entry/operator/protocol.go
@@ -12,7 +12,7 @@
 	"github.com/siskinford/siskinford/entry/endpoints"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/operate/answer"
 	"github.com/siskinford/siskinford/operate/lang"
@@ -68,7 +68,7 @@
 	Zone id.Zone
 	// Snapshot returns the configuration in force.
 	Snapshot func() *config.Snapshot
-	Store    platform.Store
+	Store    objectapi.Store
 	Members  Members
 	Caller   transport.Caller
 	Agents   Agents
--- /dev/null
+++ b/entry/ranklink/link_test.go
@@ -0,0 +1,138 @@
+package ranklink
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/wire/relay"
+)
+
+// rank counts the orders that reach it.
+type rank struct{ orders atomic.Int64 }
+
+func (r *rank) State(context.Context) (relay.State, error)   { return relay.State{Group: "g"}, nil }
+func (r *rank) Counts(context.Context) (relay.Counts, error) { return relay.Counts{}, nil }
+func (r *rank) Layout(context.Context) (relay.Layout, error) { return relay.Layout{}, nil }
+func (r *rank) Order(context.Context, relay.Order) relay.Result {
+	r.orders.Add(1)
+	return relay.Result{Outcome: relay.Done}
+}
+
+// fixture is a link with its relay, which a test plays.
+type fixture struct {
+	t      *testing.T
+	rank   rank
+	relay  net.Listener
+	events chan Event
+	link   *Link
+}
+
+func open(t *testing.T) *fixture {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fixture{t: t, relay: l, events: make(chan Event, 64)}
+	t.Cleanup(func() { _ = l.Close() })
+	f.link = Open(t.Context(), Options{
+		Endpoint: Endpoint{Name: "e", Address: "127.0.0.1:1", Relay: l.Addr().String()}, Watch: relay.Watch{StateMillis: 20},
+		Direct: func(string) relay.Engine { return &f.rank }, Events: f.events,
+		Report: func(_ *Link, what string, err error) { t.Log(what, err) },
+	})
+	return f
+}
+
+// accept accepts a connection whose messages go to got.
+func (f *fixture) accept(got func(enc *json.Encoder, m relay.ToRelay)) {
+	f.t.Helper()
+	c, err := f.relay.Accept()
+	assert.NilError(f.t, err)
+	go func() {
+		lines := bufio.NewScanner(c)
+		for lines.Scan() {
+			var m relay.ToRelay
+			if json.Unmarshal(lines.Bytes(), &m) == nil {
+				got(json.NewEncoder(c), m)
+			}
+		}
+	}()
+}
+
+// order sends an order each 40 ms until one has a result, and returns how long that took.
+func (f *fixture) order(first uint64) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	tick := time.NewTicker(40 * time.Millisecond)
+	defer tick.Stop()
+	for n := first; time.Since(began) < 3*time.Second; n++ {
+		f.link.Send(relay.Order{ID: n, Op: relay.Hold})
+		select {
+		case e := <-f.events:
+			if e.Result != nil {
+				assert.Equal(f.t, e.Result.Outcome, relay.Done)
+				return time.Since(began)
+			}
+		case <-tick.C:
+		}
+	}
+	f.t.Fatal("no order has a result")
+	return 0
+}
+
+// answer answers the orders that a relay gets while on is true.
+func answer(on *atomic.Bool) func(*json.Encoder, relay.ToRelay) {
+	return func(enc *json.Encoder, m relay.ToRelay) {
+		if m.Order != nil && on.Load() {
+			_ = enc.Encode(relay.FromRelay{Result: &relay.Result{ID: m.Order.ID, Outcome: relay.Done}})
+		}
+	}
+}
+
+// TestOrdersLeaveASilentConnection names the pattern "open channels go silent
+// for good while new ones work".
+func TestOrdersLeaveASilentConnection(t *testing.T) {
+	f := open(t)
+	var first, second atomic.Bool
+	first.Store(true)
+	second.Store(true)
+	f.accept(answer(&first))
+	for n := range uint64(10) {
+		f.order(n)
+		time.Sleep(40 * time.Millisecond) // A quiet relay is not a silent one.
+	}
+	first.Store(false)
+	go f.accept(answer(&second))
+	assert.Assert(t, f.order(100) < 500*time.Millisecond)
+}
+
+// TestFrozenHostIsNotDialedAgainAndAgain: its kernel accepts connections, so
+// that each of them looks like a new one.
+func TestFrozenHostIsNotDialedAgainAndAgain(t *testing.T) {
+	f := open(t)
+	var dials atomic.Int64
+	go func() {
+		for {
+			if _, err := f.relay.Accept(); err != nil {
+				return
+			}
+			dials.Add(1)
+		}
+	}()
+	for n := range uint64(40) {
+		f.link.Send(relay.Order{ID: n, Op: relay.Hold})
+		time.Sleep(40 * time.Millisecond)
+	}
+	assert.Equal(t, dials.Load(), int64(2))
+}
+
+func TestRankWithoutRelay(t *testing.T) {
+	f := open(t)
+	assert.NilError(t, f.relay.Close())
+	assert.Assert(t, f.order(1) < 2*time.Second)
+	assert.Assert(t, f.rank.orders.Load() > 0)
+}
--- /dev/null
+++ b/entry/routes/config.go
@@ -0,0 +1,156 @@
+// Package routes holds the operators' configuration of services that entries
+// reach directly: routes, services, teams and limits. A Table is one version
+// of it, checked and indexed; it never changes.
+package routes
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Kind tells what may be repeated and how an answer arrives.
+type Kind string
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests may run at most once.
+	NonIdempotent Kind = "non-idempotent"
+	// Streaming requests are answered by a series of events. They may run more
+	// than once only if the route is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	// Version increases with each change, in uneven steps.
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	// Teams is empty if no key is asked for.
+	Teams  []Team
+	Limits Limits
+}
+
+// Route leads requests of one host name and path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time for which a request is kept.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream, that callers expect.
+	Target time.Duration
+	// MaxGap is the longest pause between events with which a stream is on time.
+	MaxGap time.Duration
+	// Priority ranks routes, zero first.
+	Priority int
+	// Split holds the services of the route with their parts of the requests.
+	Split []Share
+	// MaxAttempts is the number of endpoints to which a request may be sent.
+	MaxAttempts int
+	// Public routes ask for no key.
+	Public bool
+	// Resumable streams may be continued at another endpoint after an event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	Service id.Service
+	// Weight is relative to the other weights of the route.
+	Weight int
+}
+
+// Service is a set of endpoints that answer alike.
+type Service struct {
+	Name       id.Service
+	HealthPath string
+	// MaxConns is the number of connections that an endpoint accepts from all callers.
+	MaxConns int
+	// Engine is set for services of model engines.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that an engine runs at the same time.
+	Slots int
+	// KVTokens is the size of the engine's KV cache in tokens.
+	KVTokens int
+	// Step is the time of a step without requests.
+	Step time.Duration
+	// PerSequence is added to a step for each request that generates.
+	PerSequence time.Duration
+	// PerContext is added to a step for each 1,000 tokens of context of a request that generates.
+	PerContext time.Duration
+	// PrefillRate is the speed of reading prompts in tokens per second.
+	PrefillRate float64
+	// PerMillionPairs is added for each million pairs of a prompt token and an earlier token.
+	PerMillionPairs time.Duration
+	// Chunk bounds the prompt tokens that are read in a step.
+	Chunk int
+	// Stride is the number of steps in a pass that generates.
+	Stride int
+	// MeanPrompt and MeanAnswer are the usual numbers of tokens of a request.
+	MeanPrompt, MeanAnswer float64
+	// ReportLag is the age of a load report that is read from another host.
+	ReportLag time.Duration
+	// Experts is set if the engines are ranks of groups.
+	Experts *Experts
+}
+
+// Experts describes the experts of a group of ranks.
+type Experts struct {
+	// Sets is the number of sets of layers, each with experts of its own.
+	Sets int
+	// PerSet is the number of experts of a set.
+	PerSet int
+	// Places is the number of experts of a set that a rank can hold.
+	Places int
+	// MaxNew is the number of experts of a set that a rank can copy for one map.
+	MaxNew int
+	// Bytes is the size of the weights of an expert.
+	Bytes float64
+	// LinkBits is the speed at which a rank copies weights in bits per second.
+	LinkBits float64
+	// Share is the part of the work for tokens that the experts do. Range: 0 to 1.
+	Share float64
+	// Form is the time in which a group opens after its last rank is back.
+	Form time.Duration
+}
+
+// CopyTime returns the time in which a rank copies one expert.
+func (e *Experts) CopyTime() time.Duration {
+	if e.LinkBits <= 0 {
+		return 0
+	}
+	return time.Duration(e.Bytes * 8 / e.LinkBits * float64(time.Second))
+}
+
+// Team is one customer.
+type Team struct {
+	Name id.Team
+	Keys []string
+	// Priority takes the place of the route's priority, unless it is nil.
+	Priority *int
+}
+
+// Limits bound what clients may send.
+type Limits struct {
+	// MaxHeaderBytes bounds the request line and the header.
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	// HeaderTimeout is the time in which a header must arrive.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time for which a connection may stay without a request.
+	IdleTimeout time.Duration
+}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -27,7 +27,7 @@
 	"github.com/siskinford/siskinford/entry/operator"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/fleet/spread"
 	"github.com/siskinford/siskinford/wire/keys"
 	"github.com/siskinford/siskinford/wire/link"
@@ -35,7 +35,7 @@
 
 // Deps are the parts that an entry works with.
 type Deps struct {
-	Store platform.Store
+	Store objectapi.Store
 	Keys  *keys.Ring
 	Ring  *timeline.Ring
 	Log   zerolog.Logger
