--- /dev/null
+++ b/cmd/internal/own/own.go
@@ -0,0 +1,107 @@
+// Package own holds the settings of siskinford-platform itself. Those that the
+// platform gives to a process are not among them.
+package own
+
+import (
+	"io"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/core/finding"
+	"github.com/siskinford/siskinford/core/process"
+	"github.com/siskinford/siskinford/core/settings"
+	"github.com/siskinford/siskinford/platform/run"
+)
+
+// Program is the name of the program.
+const Program = "siskinford-platform"
+
+// RoleEntry is the role of an entry whose endpoints are reached directly.
+const RoleEntry = "entry"
+
+// LogMode selects how much is logged.
+type LogMode string
+
+const (
+	// LogFull writes every line.
+	LogFull LogMode = "full"
+	// LogBounded bounds the lines per second below level warn.
+	LogBounded LogMode = "bounded"
+	// LogOff writes errors only.
+	LogOff LogMode = "off"
+)
+
+const (
+	// defaultLogLines permits several lines for each request at five times the
+	// load of an entry today. Unit: lines per second.
+	defaultLogLines = 1000
+	// defaultGCPercent trades processor time for memory, which is dear where hosts
+	// are billed by its peak.
+	defaultGCPercent = 50
+	maxPort          = 65535
+)
+
+// Settings are the program's own settings.
+type Settings struct {
+	Own run.Own
+	Log LogMode
+	// LogLines bounds the lines per second in mode bounded.
+	LogLines int
+	// GCPercent is the growth of the heap at which garbage is collected.
+	GCPercent int
+}
+
+// New returns the defaults.
+func New() *Settings {
+	return &Settings{Log: LogBounded, LogLines: defaultLogLines, GCPercent: defaultGCPercent}
+}
+
+// Set returns the settings as flags and environment variables.
+func (s *Settings) Set() *settings.Set {
+	set := settings.New(Program)
+	set.Int(&s.Own.MetricsPort, "metrics-port", "port", "Port of a further address for metrics, 0 for none")
+	set.Bool(&s.Own.BindSource, "bind-source", "Open connections from the host's own address, for hosts with several")
+	set.String(&s.Own.Advertised, "advertise", "Address (ip:port) for other entries, if they do not reach the one listened at")
+	settings.Text(set, &s.Log, "log", "How much is logged: full, bounded or off")
+	set.Int(&s.LogLines, "log-lines", "lines per second", "Lines below level warn in mode bounded")
+	set.Int(&s.GCPercent, "gc-percent", "percent", "Growth of the heap at which garbage is collected")
+	return set
+}
+
+// Validate returns what is wrong.
+func (s *Settings) Validate() finding.List {
+	var l finding.List
+	if s.Own.MetricsPort < 0 || s.Own.MetricsPort > maxPort {
+		l.Addf("metrics-port", "%d is not a port", s.Own.MetricsPort)
+	}
+	if _, err := netip.ParseAddrPort(s.Own.Advertised); err != nil && s.Own.Advertised != "" {
+		l.Addf("advertise", "%q is not ip:port", s.Own.Advertised)
+	}
+	switch s.Log {
+	case LogFull, LogBounded, LogOff:
+	default:
+		l.Addf("log", "%q is none of full, bounded and off", string(s.Log))
+	}
+	if s.LogLines <= 0 {
+		l.Addf("log-lines", "%d is not positive", s.LogLines)
+	}
+	if s.GCPercent <= 0 {
+		l.Addf("gc-percent", "%d is not positive", s.GCPercent)
+	}
+	return l
+}
+
+// NewLog returns the log that the settings ask for.
+func (s *Settings) NewLog(w io.Writer, host string, set *metrics.Set) *process.BoundedLog {
+	cfg := process.LogConfig{Program: Program, Host: host, Level: zerolog.InfoLevel}
+	switch s.Log {
+	case LogBounded:
+		cfg.LinesPerSecond = s.LogLines
+	case LogOff:
+		cfg.Level = zerolog.ErrorLevel
+	case LogFull:
+	}
+	return process.NewBoundedLog(w, cfg, set)
+}
--- a/cmd/internal/programs/entry.go
+++ b/cmd/internal/programs/entry.go
@@ -8,7 +8,7 @@
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/settings"
 	"github.com/siskinford/siskinford/entry/server"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/wire/keys"
 )
 
@@ -53,8 +53,8 @@
 }
 
 // Platform returns the configuration of the platform's client.
-func (e *Entry) Platform() platform.ClientConfig {
-	return platform.ClientConfig{BaseURL: e.PlatformURL, Caller: string(e.Server.Host)}
+func (e *Entry) Platform() objectapi.ClientConfig {
+	return objectapi.ClientConfig{BaseURL: e.PlatformURL, Caller: string(e.Server.Host)}
 }
 
 // Validate implements Program.
--- /dev/null
+++ b/cmd/internal/sitelab/sitelab.go
@@ -0,0 +1,253 @@
+// Package sitelab holds the subcommand that runs the programs of the users'
+// platform as processes against the project's stand-ins.
+package sitelab
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/siskinford/siskinford/lab/procs"
+	"github.com/siskinford/siskinford/lab/replicas"
+	"github.com/siskinford/siskinford/platform/standin"
+)
+
+// Command is the site subcommand.
+type Command struct {
+	entries, ranks, rate int
+	network              string
+	duration             time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "site" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string {
+	return "run entries and relays against stand-ins and show a request go through"
+}
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return "site [--entries n] [--ranks n] [--rate n --for d] [--network 127.a.b]\n" +
+		"  Each host has an address of its own on the loopback network.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.entries, "entries", 3, "number of entries")
+	f.IntVar(&c.ranks, "ranks", 8, "number of ranks of the model's group")
+	f.IntVar(&c.rate, "rate", 20, "streams per second of the load")
+	f.DurationVar(&c.duration, "for", 4*time.Second, "duration of the load")
+	f.StringVar(&c.network, "network", "127.77.1", "first three parts of the addresses")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+const (
+	startTimeout = 30 * time.Second
+	stopTimeout  = 10 * time.Second
+	// logDelay is the time in which the log lines of a request are written.
+	logDelay = 100 * time.Millisecond
+	// streamEvents is the number of events of a stream, and slots that of streams
+	// at a rank.
+	streamEvents, slots = 20, 12
+)
+
+// config describes a group whose passes take some ten milliseconds.
+func (c *Command) config(dir string, ports []int) standin.SiteConfig {
+	return standin.SiteConfig{
+		Network: c.network, Zones: 3, Entries: c.entries, Ranks: c.ranks, Plain: 3, Events: streamEvents, Dir: dir,
+		ClientPort: ports[0], ReadyPort: ports[1], ControlPort: ports[2], InternalPort: ports[3], AppPort: ports[4], StorePort: ports[5],
+		Group: replicas.GroupConfig{
+			Name: "g0", Slots: slots, Queue: 2 * slots, Sets: 4, PerSet: 4 * c.ranks, Places: 5, MaxNew: 2,
+			Step: 15 * time.Millisecond, PerStream: 3 * time.Millisecond, Copy: 100 * time.Millisecond,
+			Form: 600 * time.Millisecond, Stall: 1500 * time.Millisecond, Seed: 1,
+		},
+	}
+}
+
+func (c *Command) run(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "siskinford-site")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	fmt.Fprintln(out, "building the programs")
+	programs, err := procs.Build(dir, false)
+	if err != nil {
+		return err
+	}
+	ports, err := freePorts(6)
+	if err != nil {
+		return err
+	}
+	site, err := standin.NewSite(c.config(dir, ports))
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	p, err := standin.StartProcesses(site, programs)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	if err := awaitReady(ctx, site, c.entries); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d entries and %d relays run; clients reach entry 0 at %s, operators at %s\n\n",
+		c.entries, c.ranks, site.EntryURL(0), site.ControlURL(0))
+	if err := c.show(ctx, out, site, p); err != nil {
+		return err
+	}
+	c.load(ctx, out, site)
+	return stopAll(out, p)
+}
+
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	var open []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	for _, l := range open {
+		_ = l.Close()
+	}
+	return ports, nil
+}
+
+func awaitReady(ctx context.Context, site *standin.Site, entries int) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for i := range entries {
+		for {
+			if ok(ctx, site.ReadyURL(i)) {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("entry %d is not ready: %w", i, ctx.Err())
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func ok(ctx context.Context, url string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// show sends a request of each kind and prints what became of it.
+func (c *Command) show(ctx context.Context, out io.Writer, site *standin.Site, p *standin.Processes) error {
+	for i, path := range []string{standin.PathChat, standin.PathIssue, standin.PathLook} {
+		request := fmt.Sprintf("shown-%d", i)
+		status, body, err := site.Send(ctx, 0, path+"example", request)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s -> status %d, %d bytes\n", path+"example", status, len(body))
+		time.Sleep(logDelay)
+		for _, line := range strings.Split(p.Entries[0].Output(), "\n") {
+			if strings.Contains(line, `"request":"`+request+`"`) {
+				fmt.Fprintln(out, " ", line)
+			}
+		}
+	}
+	fmt.Fprintln(out)
+	return nil
+}
+
+// load sends streams, shifts the demand for experts in between and prints how the map follows.
+func (c *Command) load(ctx context.Context, out io.Writer, site *standin.Site) {
+	ctx, cancel := context.WithTimeout(ctx, c.duration)
+	defer cancel()
+	var sent, served atomic.Int64
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(max(c.rate, 1)))
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			wg.Go(func() {
+				sent.Add(1)
+				status, _, err := site.Send(context.WithoutCancel(ctx), n%c.entries, standin.PathChat+"x", fmt.Sprintf("load-%d", n))
+				if err == nil && status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+	})
+	look := time.NewTicker(c.duration / 8)
+	defer look.Stop()
+	for n := 1; ctx.Err() == nil; n++ {
+		select {
+		case <-ctx.Done():
+		case <-look.C:
+			s := site.Group.Status()
+			fmt.Fprintf(out, "pass %d: the most loaded rank has %.2f times the mean, %d maps so far\n", s.Step, s.Skew, s.Switches)
+			if n == 4 {
+				fmt.Fprintln(out, "demand for experts shifts")
+				site.Group.Shift()
+			}
+		}
+	}
+	wg.Wait()
+	fmt.Fprintf(out, "%d of %d streams served whole; passes with two maps: %d\n", served.Load(), sent.Load(), len(site.Group.Status().Violations))
+}
+
+// stopAll stops all entries and reports their exit codes.
+func stopAll(out io.Writer, p *standin.Processes) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, e := range p.Entries {
+		e.Signal(syscall.SIGTERM)
+	}
+	for i, e := range p.Entries {
+		code, err := e.Wait(ctx)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "entry %d stopped with code %d\n", i, code)
+	}
+	return nil
+}
--- a/cmd/siskinford-entry/main.go
+++ b/cmd/siskinford-entry/main.go
@@ -10,7 +10,7 @@
 	"github.com/siskinford/siskinford/core/process"
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/entry/server"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/wire/keys"
 )
 
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store, err := platform.NewClient(p.Platform())
+	store, err := objectapi.NewClient(p.Platform())
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/siskinford-lab/main.go
+++ b/cmd/siskinford-lab/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/siskinford/siskinford/cmd/internal/sitelab"
 	"github.com/siskinford/siskinford/lab/demo"
 	"github.com/siskinford/siskinford/lab/load"
 	"github.com/siskinford/siskinford/lab/measure"
@@ -20,6 +21,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&demo.Command{}, "fleet")
+	subcommands.Register(&sitelab.Command{}, "fleet")
+	subcommands.Register(&sitelab.Soak{}, "fleet")
 	subcommands.Register(&measure.Path{}, "measurements")
 	subcommands.Register(&measure.Control{}, "measurements")
 	subcommands.Register(&load.Command{}, "measurements")
--- /dev/null
+++ b/cmd/siskinford-relay/main.go
@@ -0,0 +1,50 @@
+// Command siskinford-relay runs beside an endpoint whose engine is a rank of a
+// group. It samples the rank and passes orders on for the entries.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/siskinford/siskinford/agent/relay"
+	"github.com/siskinford/siskinford/platform/replica"
+	"github.com/siskinford/siskinford/platform/settings"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	zerolog.TimeFieldFormat = time.RFC3339Nano // As in the logs of entries.
+	log := zerolog.New(os.Stdout).With().Timestamp().Str("program", "siskinford-relay").Logger()
+	s, err := settings.Load()
+	if err != nil {
+		log.Error().Err(err).Str("event", "process.failed").Msg("settings cannot be used")
+		return exitUsage
+	}
+	log = log.With().Str("host", string(s.Host)).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP) // The settings that matter do not change while the process runs.
+	address := netip.AddrPortFrom(s.IP, s.Internal[0]).String()
+	log.Info().Str("event", "process.started").Str("address", address).Str("engine", s.Replica).Msg("relay started")
+	server := relay.New(replica.New(s.Replica), func(event string, err error) {
+		log.Info().Err(err).Str("event", event).Send()
+	})
+	if err := server.Listen(ctx, address); err != nil {
+		log.Error().Err(err).Str("event", "process.failed").Msg("relay ended")
+		return exitFailure
+	}
+	log.Info().Str("event", "process.stopping").Msg("relay stopped")
+	return 0
+}
--- a/cmd/siskinford/check.go
+++ b/cmd/siskinford/check.go
@@ -9,12 +9,17 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/siskinford/siskinford/cmd/internal/own"
 	"github.com/siskinford/siskinford/cmd/internal/programs"
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/process"
+	"github.com/siskinford/siskinford/entry/routes"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/operate/cli"
 	"github.com/siskinford/siskinford/operate/lang"
+	"github.com/siskinford/siskinford/platform/catalog"
+	"github.com/siskinford/siskinford/platform/deploy"
+	"github.com/siskinford/siskinford/platform/settings"
 )
 
 // check is the subcommand that validates settings and files without a fleet.
@@ -22,6 +27,8 @@
 	streams cli.Streams
 	files   [3]string // in order of config.Kinds
 	script  string
+	// deploy, settings and config are files in the formats of the users' platform.
+	deploy, settings, config string
 }
 
 // Name implements subcommands.Command.
@@ -32,9 +39,11 @@
 
 // Usage implements subcommands.Command.
 func (*check) Usage() string {
-	return `check [--services FILE] [--teams FILE] [--endpoints FILE] [--script FILE] [entry|agent [SETTINGS]]
+	return `check [--services FILE] [--teams FILE] [--endpoints FILE] [--script FILE] [entry|agent|platform [SETTINGS]]
+check [--deploy FILE] [--platform-settings FILE] [--platform-config FILE] [platform [SETTINGS]]
   check entry --host=entry-0 --zone=lima-a validates the settings of siskinford-entry from
-  the given flags and the environment. Files hold JSON as the platform stores it.
+  the given flags and the environment, check platform those of siskinford-platform. Files
+  hold JSON as the platform stores it, the deployment file TOML.
 `
 }
 
@@ -43,6 +52,9 @@
 	for i, kind := range config.Kinds() {
 		f.StringVar(&c.files[i], string(kind), "", fmt.Sprintf("(text) File with the %s as JSON.", kind))
 	}
+	f.StringVar(&c.deploy, "deploy", "", "(text) Deployment file of the platform.")
+	f.StringVar(&c.settings, "platform-settings", "", "(text) Settings file that the platform gives to a process.")
+	f.StringVar(&c.config, "platform-config", "", "(text) The operators' configuration on the platform.")
 	f.StringVar(&c.script, "script", "", "(text) File with queries or commands.")
 }
 
@@ -74,20 +86,71 @@
 		_, l := lang.Parse(string(data))
 		findings.Merge(c.script+": ", l)
 	}
+	l, platformErr := c.checkPlatform()
+	findings, err = append(findings, l...), errors.Join(err, platformErr)
 	if len(args) == 0 {
-		if c.script == "" && c.files == [3]string{} {
+		if c.nothingGiven() {
 			return nil, errors.New("nothing to check is given")
 		}
 		return findings, err
 	}
-	p, ok := map[string]programs.Program{"entry": programs.NewEntry(), "agent": programs.NewAgent()}[args[0]]
+	p, ok := map[string]programs.Program{
+		"entry": programs.NewEntry(), "agent": programs.NewAgent(), "platform": own.New(),
+	}[args[0]]
 	if !ok {
-		return findings, errors.Join(err, fmt.Errorf("program %q is neither entry nor agent", args[0]))
+		return findings, errors.Join(err, fmt.Errorf("program %q is none of entry, agent and platform", args[0]))
 	}
 	l, helpErr := process.CheckSettings(p.Set(), args[1:], p.Validate, c.streams.Out)
 	return append(findings, l...), errors.Join(err, helpErr)
 }
 
+func (c *check) nothingGiven() bool {
+	return c.script == "" && c.files == [3]string{} && c.deploy == "" && c.settings == "" && c.config == ""
+}
+
+// checkPlatform checks the files in the formats of the users' platform.
+func (c *check) checkPlatform() (finding.List, error) {
+	var (
+		findings finding.List
+		all      error
+	)
+	for _, f := range []struct {
+		name  string
+		check func([]byte) error
+	}{
+		{c.deploy, func(data []byte) error { return deploy.Check(string(data)).Err() }},
+		{c.settings, func(data []byte) error { _, err := settings.Parse(data); return err }},
+		{c.config, checkConfig},
+	} {
+		if f.name == "" {
+			continue
+		}
+		data, err := os.ReadFile(f.name)
+		if err != nil {
+			all = errors.Join(all, err)
+			continue
+		}
+		err = f.check(data)
+		var list finding.List
+		switch {
+		case errors.As(err, &list):
+			findings.Merge(f.name+": ", list)
+		case err != nil:
+			findings.Addf(f.name, "%v", err)
+		}
+	}
+	return findings, all
+}
+
+func checkConfig(data []byte) error {
+	c, err := catalog.DecodeConfig(data)
+	if err != nil {
+		return err
+	}
+	_, err = routes.NewTable(c)
+	return err
+}
+
 func (c *check) checkFiles() (finding.List, error) {
 	var sources []config.Source
 	var all error
