--- /dev/null
+++ b/itest/maps/coordinator_test.go
@@ -0,0 +1,207 @@
+// Package maps tests the coordinators of expert maps in one process, with relays
+// and a group of ranks that obeys simple orders.
+package maps
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	agent "github.com/siskinford/siskinford/agent/relay"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/expertmaps"
+	"github.com/siskinford/siskinford/entry/ranklink"
+	"github.com/siskinford/siskinford/entry/routes"
+	"github.com/siskinford/siskinford/fleet/duty"
+	"github.com/siskinford/siskinford/fleet/objectapi/faultstore"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
+	"github.com/siskinford/siskinford/lab/replicas"
+	"github.com/siskinford/siskinford/wire/relay"
+)
+
+const ranks = 4
+
+// peers is what an entry knows of the others.
+type peers struct {
+	claimed atomic.Uint64
+	gone    atomic.Bool
+}
+
+func (p *peers) Acting(string, duty.Name) bool { return false }
+func (p *peers) Gone(string) bool              { return p.gone.Load() }
+func (p *peers) Claimed(duty.Name) uint64      { return p.claimed.Load() }
+
+// site is a group with relays, load and a store.
+type site struct {
+	t         *testing.T
+	group     *replicas.Group
+	store     *faultstore.Store
+	endpoints []ranklink.Endpoint
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: faultstore.New(memstore.New(memstore.Config{})), group: replicas.NewGroup(replicas.GroupConfig{
+		Name: "g", Ranks: ranks, Slots: 8, Queue: 16, Sets: 2, PerSet: 16, Places: 6, MaxNew: 2,
+		Step: 5 * time.Millisecond, PerStream: 300 * time.Microsecond, Copy: 10 * time.Millisecond,
+		Form: 100 * time.Millisecond, Stall: 300 * time.Millisecond, Seed: 3,
+	})}
+	t.Cleanup(s.group.Close)
+	for i := range ranks {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		assert.NilError(t, l.Close())
+		go func() {
+			if err := agent.New(s.group.Engine(i), func(string, error) {}).Listen(t.Context(), address); err != nil {
+				t.Error(err)
+			}
+		}()
+		s.endpoints = append(s.endpoints, ranklink.Endpoint{Name: id.Endpoint(address), Address: address, Relay: address})
+		go s.load(i)
+	}
+	return s
+}
+
+// load keeps some streams at a rank.
+func (s *site) load(rank int) {
+	const streams, events = 4, 12
+	for range streams {
+		go func() {
+			for s.t.Context().Err() == nil {
+				stream, err := s.group.Start(rank, 0, events)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				for {
+					select {
+					case <-s.t.Context().Done():
+						return
+					case _, ok := <-stream.Events:
+						if ok {
+							continue
+						}
+					}
+					break
+				}
+			}
+		}()
+	}
+}
+
+// coordinator starts one, which ends when stop is called.
+func (s *site) coordinator(holder string, p *peers) (c *expertmaps.Coordinator, stop func()) {
+	s.t.Helper()
+	c, err := expertmaps.New(expertmaps.Options{
+		Service: "m", Group: "g", Holder: holder, Store: s.store, Peers: p,
+		Engine: &routes.Engine{Slots: 8, Experts: &routes.Experts{Sets: 2, PerSet: 16, Places: 6, MaxNew: 2, Bytes: 1, LinkBits: 1000}},
+		List:   func() []ranklink.Endpoint { return s.endpoints },
+		Direct: func(string) relay.Engine { return unreachable{} },
+		Log:    zerolog.Nop(), Metrics: metrics.NewSet(),
+	})
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(s.t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.Run(ctx)
+	}()
+	return c, func() {
+		cancel()
+		<-ended
+	}
+}
+
+var errUnreachable = errors.New("no route")
+
+// unreachable is a rank that is reached through its relay only.
+type unreachable struct{}
+
+func (unreachable) State(context.Context) (relay.State, error) { return relay.State{}, errUnreachable }
+
+func (unreachable) Counts(context.Context) (relay.Counts, error) {
+	return relay.Counts{}, errUnreachable
+}
+
+func (unreachable) Layout(context.Context) (relay.Layout, error) {
+	return relay.Layout{}, errUnreachable
+}
+
+func (unreachable) Order(context.Context, relay.Order) relay.Result {
+	return relay.Result{Outcome: relay.Unknown, Detail: errUnreachable.Error()}
+}
+
+func (s *site) await(what string, limit time.Duration, done func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// follows waits until the map fits the demand, within the users' bound of 3 s
+// after a change.
+func (s *site) follows(limit time.Duration) {
+	s.t.Helper()
+	s.await("the map follows the demand", limit, func() bool { return s.group.Status().Switches > 0 && s.group.Status().Skew < 1.5 })
+	assert.Equal(s.t, len(s.group.Status().Violations), 0, "%v", s.group.Status().Violations)
+}
+
+// TestPlansWhileThePlatformIsAway: nobody can take the lease meanwhile, and
+// safety does not rest on it.
+func TestPlansWhileThePlatformIsAway(t *testing.T) {
+	s := newSite(t)
+	c, stop := s.coordinator("h1", &peers{})
+	defer stop()
+	s.follows(10 * time.Second)
+	s.store.SetDown(true)
+	time.Sleep(3 * time.Second) // Longer than the lease lasts.
+	before := s.group.Status().Switches
+	s.group.Shift()
+	s.await("a map for the new demand", 3*time.Second, func() bool { return s.group.Status().Switches > before })
+	s.follows(3 * time.Second)
+	assert.Assert(t, c.Claim() > 0)
+}
+
+// TestOutdatedCoordinatorStops names the pattern "a paused coordinator wakes up":
+// another entry says that it acts under a later lease.
+func TestOutdatedCoordinatorStops(t *testing.T) {
+	s := newSite(t)
+	p := &peers{}
+	c, stop := s.coordinator("h1", p)
+	defer stop()
+	s.follows(10 * time.Second)
+	s.store.SetDown(true)
+	p.claimed.Store(c.Claim() + 1)
+	s.await("the coordinator stops", 4*time.Second, func() bool { return c.Claim() == 0 })
+}
+
+// TestTwoCoordinatorsAtATime: both plan, and no pass begins with two maps.
+func TestTwoCoordinatorsAtATime(t *testing.T) {
+	s := newSite(t)
+	_, stop := s.coordinator("h1", &peers{})
+	defer stop()
+	s.follows(10 * time.Second)
+	takesAll := &peers{}
+	takesAll.gone.Store(true) // It takes h1 for dead.
+	second, stopSecond := s.coordinator("h2", takesAll)
+	defer stopSecond()
+	s.await("the second one plans too", 5*time.Second, func() bool { return second.Claim() > 0 })
+	for range 5 {
+		s.group.ApplyLate(0.3, 100*time.Millisecond)
+		s.group.Shift()
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, len(s.group.Status().Violations), 0, "%v", s.group.Status().Violations)
+	}
+	s.group.ApplyLate(0, 0)
+	s.await("the group is not held", 3*time.Second, func() bool { return !s.group.Status().Held })
+	s.follows(5 * time.Second)
+}
--- a/itest/stream_test.go
+++ b/itest/stream_test.go
@@ -126,24 +126,52 @@
 	t.Helper()
 	total := 0
 	for _, e := range c.Endpoints {
-		if e.Config.Service != procs.ModelService {
-			continue
-		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.BackendURL+"/lab/runs", nil)
-		assert.NilError(t, err)
-		response, err := http.DefaultClient.Do(request)
-		assert.NilError(t, err)
-		var runs map[string]engine.Run
-		err = json.NewDecoder(response.Body).Decode(&runs)
-		_ = response.Body.Close()
-		assert.NilError(t, err)
-		for _, run := range runs {
-			total += run.Started
+		if e.Config.Service == procs.ModelService {
+			total += startedAt(ctx, t, e.BackendURL)
 		}
 	}
 	return total
 }
 
+// startedAt returns the number of attempts that the engine at a URL started.
+func startedAt(ctx context.Context, t *testing.T, url string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/lab/runs", nil)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var runs map[string]engine.Run
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&runs))
+	total := 0
+	for _, run := range runs {
+		total += run.Started
+	}
+	return total
+}
+
+// busiest starts streams and returns the model's endpoint that got most of them.
+// Routing prefers the endpoint that was faster lately, so that any one may get none.
+func busiest(ctx context.Context, t *testing.T, c *procs.Cluster, name string, n int) ([]*liveStream, *procs.Endpoint) {
+	t.Helper()
+	before := make(map[*procs.Endpoint]int)
+	for _, e := range c.Endpoints {
+		if e.Config.Service == procs.ModelService {
+			before[e] = startedAt(ctx, t, e.BackendURL)
+		}
+	}
+	running := streams(ctx, c, name, n)
+	var best *procs.Endpoint
+	most := 0
+	for e, was := range before {
+		if got := startedAt(ctx, t, e.BackendURL) - was; got > most {
+			best, most = e, got
+		}
+	}
+	assert.Assert(t, best != nil, "no engine got a stream")
+	return running, best
+}
+
 // TestStreamsAreWholeOrVisiblyBroken strikes while marked streams run. A lost
 // connection is replaced and the rest of the answer taken from the running
 // attempt; an engine or entry that dies breaks its streams visibly.
@@ -181,8 +209,8 @@
 		})
 	}
 	t.Run("engine dies", func(t *testing.T) {
-		running := streams(ctx, c, "engine", 16)
-		c.Endpoints[0].Backend.Kill()
+		running, victim := busiest(ctx, t, c, "engine", 16)
+		victim.Backend.Kill()
 		broken := 0
 		for _, s := range running {
 			if s.wholeOrBroken(t) {
--- a/lab/faultproxy/faultproxy_test.go
+++ b/lab/faultproxy/faultproxy_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -186,3 +188,69 @@
 	assert.Assert(t, !inOrder)
 	assert.Equal(t, len(got), packets)
 }
+
+func TestFaultsBySource(t *testing.T) {
+	p, err := faultproxy.StartTCP(faultproxy.Options{Listen: "127.0.0.8:0", Target: tcpEcho(t), Seed: seed, KeepSource: true})
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	from := func(source string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		c, err := d.Dial("tcp", p.Addr())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	struck := netip.MustParseAddr("127.0.0.7")
+	a, b := from("127.0.0.7"), from("127.0.0.6")
+	p.SetFor(func(source netip.Addr) faultproxy.Faults { return faultproxy.Faults{CutToTarget: source == struck} })
+	send(t, a, "held")
+	receivesNothing(t, a)
+	send(t, b, "plain")
+	receives(t, b, "plain")
+	p.ResetExisting(func(source netip.Addr) bool { return source == struck })
+	assert.NilError(t, a.SetReadDeadline(time.Now().Add(bound)))
+	_, err = a.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	send(t, b, "still")
+	receives(t, b, "still")
+	p.Set(faultproxy.Faults{Refuse: true})
+	c := from("127.0.0.6")
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(bound)))
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
+
+// TestBrokenConnectionsStayBroken: what one side sees reset, the other does too.
+func TestBrokenConnectionsStayBroken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	p, err := faultproxy.NewTCP(l.Addr().String(), seed)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	c := dial(t, "tcp", p.Addr())
+	behind, err := l.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, behind.(*net.TCPConn).SetLinger(0))
+	assert.NilError(t, behind.Close())
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(bound)))
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
+
+func TestUDPKeepsTheSource(t *testing.T) {
+	target, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	p, err := faultproxy.StartUDP(faultproxy.Options{Target: target.LocalAddr().String(), Seed: seed, KeepSource: true})
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	d := net.Dialer{LocalAddr: &net.UDPAddr{IP: net.IPv4(127, 0, 0, 7)}}
+	c, err := d.Dial("udp", p.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	send(t, c, "x")
+	_, from, err := target.ReadFrom(make([]byte, 8))
+	assert.NilError(t, err)
+	assert.Equal(t, from.(*net.UDPAddr).IP.String(), "127.0.0.7")
+}
--- a/lab/faultproxy/faults.go
+++ b/lab/faultproxy/faults.go
@@ -3,10 +3,41 @@
 
 import (
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
 
+// Options describe a proxy.
+type Options struct {
+	// Listen is the "ip:port" to listen at. Default: a free port of 127.0.0.1.
+	Listen string
+	// Target is the "ip:port" to forward to. Required.
+	Target string
+	// Seed seeds the random faults.
+	Seed uint64
+	// KeepSource forwards from the client's own IP address, so that the target
+	// sees who calls.
+	KeepSource bool
+}
+
+func (o Options) listen() string {
+	if o.Listen == "" {
+		return "127.0.0.1:0"
+	}
+	return o.Listen
+}
+
+// sourceOf returns the IP address of a connection's or packet's sender.
+func sourceOf(a net.Addr) netip.Addr {
+	p, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return p.Addr().Unmap()
+}
+
 // Faults are the faults of a proxy. The zero value has none.
 type Faults struct {
 	// Delay is added to each packet or chunk in each direction.
@@ -17,6 +48,8 @@
 	// Freeze holds everything in both directions until it ends. UDP keeps up to
 	// queueLen packets of each flow and direction.
 	Freeze bool
+	// Refuse resets new TCP connections.
+	Refuse bool
 	// Loss, Duplicate and Reorder are probabilities for each UDP packet.
 	Loss, Duplicate, Reorder float64
 }
@@ -45,16 +78,20 @@
 // state holds the faults in force and the seeded random numbers.
 type state struct {
 	mu      sync.Mutex // leaf lock
-	faults  Faults
+	faults  func(source netip.Addr) Faults
 	changed chan struct{}
 	random  *rand.Rand
 }
 
 func newState(seed uint64) *state {
-	return &state{changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, seed))}
+	none := func(netip.Addr) Faults { return Faults{} }
+	return &state{faults: none, changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, seed))}
 }
 
-func (s *state) set(f Faults) {
+func (s *state) set(f Faults) { s.setFor(func(netip.Addr) Faults { return f }) }
+
+// setFor replaces the faults by those of each client's address.
+func (s *state) setFor(f func(source netip.Addr) Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
@@ -62,10 +99,10 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *state) get() (Faults, <-chan struct{}) {
+func (s *state) get(source netip.Addr) (Faults, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults, s.changed
+	return s.faults(source), s.changed
 }
 
 func (s *state) hits(probability float64) bool {
@@ -78,9 +115,9 @@
 }
 
 // await blocks while held reports true. It returns false once done is closed.
-func (s *state) await(done <-chan struct{}, held func(Faults) bool) bool {
+func (s *state) await(done <-chan struct{}, source netip.Addr, held func(Faults) bool) bool {
 	for {
-		faults, changed := s.get()
+		faults, changed := s.get(source)
 		if !held(faults) {
 			return true
 		}
--- a/lab/faultproxy/tcp.go
+++ b/lab/faultproxy/tcp.go
@@ -1,10 +1,14 @@
 package faultproxy
 
 import (
+	"io"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/dial"
 )
 
 // chunkLen is the size of the reads from a TCP connection. Unit: bytes.
@@ -12,7 +16,7 @@
 
 // TCP forwards TCP connections to a target. It is safe for concurrent use.
 type TCP struct {
-	target   string
+	opt      Options
 	listener net.Listener
 	state    *state
 	done     chan struct{}
@@ -24,6 +28,7 @@
 
 // tcpFlow is one forwarded connection.
 type tcpFlow struct {
+	source         netip.Addr
 	client, target net.Conn
 	silent         chan struct{}
 	silence        sync.Once
@@ -33,12 +38,17 @@
 
 // NewTCP listens on a free loopback port and forwards to target.
 func NewTCP(target string, seed uint64) (*TCP, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartTCP(Options{Target: target, Seed: seed})
+}
+
+// StartTCP starts a proxy.
+func StartTCP(o Options) (*TCP, error) {
+	l, err := net.Listen("tcp", o.listen())
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy cannot listen")
 	}
 	p := &TCP{
-		target: target, listener: l, state: newState(seed),
+		opt: o, listener: l, state: newState(o.Seed),
 		done: make(chan struct{}), flows: make(map[*tcpFlow]struct{}),
 	}
 	p.wg.Go(p.accept)
@@ -51,11 +61,28 @@
 // Set replaces the faults.
 func (p *TCP) Set(f Faults) { p.state.set(f) }
 
+// SetFor replaces the faults by those of each client's address.
+func (p *TCP) SetFor(f func(source netip.Addr) Faults) { p.state.setFor(f) }
+
+// ResetExisting resets the present connections of some clients.
+func (p *TCP) ResetExisting(of func(source netip.Addr) bool) {
+	for _, f := range p.present() {
+		if of(f.source) {
+			f.reset()
+		}
+	}
+}
+
 // SilenceExisting makes the present connections silent for good: they stay
 // open, and what is sent on them is lost. New connections work.
-func (p *TCP) SilenceExisting() {
+func (p *TCP) SilenceExisting() { p.SilenceSome(func(netip.Addr) bool { return true }) }
+
+// SilenceSome is SilenceExisting for the connections of some clients.
+func (p *TCP) SilenceSome(of func(source netip.Addr) bool) {
 	for _, f := range p.present() {
-		f.silence.Do(func() { close(f.silent) })
+		if of(f.source) {
+			f.silence.Do(func() { close(f.silent) })
+		}
 	}
 }
 
@@ -95,12 +122,21 @@
 }
 
 func (p *TCP) serve(client net.Conn) {
-	target, err := net.Dial("tcp", p.target)
+	source := sourceOf(client.RemoteAddr())
+	if faults, _ := p.state.get(source); faults.Refuse {
+		reset(client)
+		return
+	}
+	var d dial.Config
+	if p.opt.KeepSource {
+		d.Source = source
+	}
+	target, err := d.Dialer().Dial("tcp", p.opt.Target)
 	if err != nil {
-		_ = client.Close()
+		reset(client)
 		return
 	}
-	f := &tcpFlow{client: client, target: target, silent: make(chan struct{}), closed: make(chan struct{})}
+	f := &tcpFlow{source: source, client: client, target: target, silent: make(chan struct{}), closed: make(chan struct{})}
 	p.mu.Lock()
 	p.flows[f] = struct{}{}
 	p.mu.Unlock()
@@ -124,10 +160,13 @@
 	buf := make([]byte, chunkLen)
 	for {
 		n, err := from.Read(buf)
-		if !p.forward(f, to, buf[:n], d, err != nil) {
+		if !p.forward(f, to, buf[:n], d, err == io.EOF) {
 			return
 		}
 		if err != nil {
+			if err != io.EOF {
+				f.reset() // As the connection on this side was.
+			}
 			return
 		}
 	}
@@ -135,11 +174,11 @@
 
 // forward writes one chunk, and the end of the direction if it is the last.
 func (p *TCP) forward(f *tcpFlow, to net.Conn, chunk []byte, d direction, last bool) bool {
-	faults, _ := p.state.get()
+	faults, _ := p.state.get(f.source)
 	if !pause(f.closed, faults.Delay) {
 		return false
 	}
-	if !p.state.await(f.closed, func(faults Faults) bool { return faults.Freeze || faults.cut(d) }) {
+	if !p.state.await(f.closed, f.source, func(faults Faults) bool { return faults.Freeze || faults.cut(d) }) {
 		return false
 	}
 	select {
@@ -166,6 +205,22 @@
 	}
 }
 
+// reset ends a connection so that its peer sees it broken.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (f *tcpFlow) reset() {
+	f.closing.Do(func() {
+		close(f.closed)
+		reset(f.client)
+		reset(f.target)
+	})
+}
+
 func (f *tcpFlow) close() {
 	f.closing.Do(func() {
 		close(f.closed)
--- a/lab/faultproxy/udp.go
+++ b/lab/faultproxy/udp.go
@@ -16,6 +16,7 @@
 // UDP forwards UDP packets to a target. A flow is a client's address and port,
 // with a port of the proxy's own towards the target. It is safe for concurrent use.
 type UDP struct {
+	opt    Options
 	target *net.UDPAddr
 	conn   *net.UDPConn
 	state  *state
@@ -37,6 +38,8 @@
 	silence  sync.Once
 }
 
+func (f *udpFlow) source() netip.Addr { return f.client.Addr().Unmap() }
+
 // packet is one payload and the time at which it is due.
 type packet struct {
 	payload []byte
@@ -45,16 +48,25 @@
 
 // NewUDP listens on a free loopback port and forwards to target.
 func NewUDP(target string, seed uint64) (*UDP, error) {
-	addr, err := net.ResolveUDPAddr("udp", target)
+	return StartUDP(Options{Target: target, Seed: seed})
+}
+
+// StartUDP starts a proxy.
+func StartUDP(o Options) (*UDP, error) {
+	target, err := net.ResolveUDPAddr("udp", o.Target)
+	if err != nil {
+		return nil, errors.Wrapf(err, "target %q of the proxy", o.Target)
+	}
+	listen, err := net.ResolveUDPAddr("udp", o.listen())
 	if err != nil {
-		return nil, errors.Wrapf(err, "target %q of the proxy", target)
+		return nil, errors.Wrapf(err, "address %q of the proxy", o.Listen)
 	}
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	conn, err := net.ListenUDP("udp", listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy cannot listen")
 	}
 	p := &UDP{
-		target: addr, conn: conn, state: newState(seed),
+		opt: o, target: target, conn: conn, state: newState(o.Seed),
 		done: make(chan struct{}), flows: make(map[netip.AddrPort]*udpFlow),
 	}
 	p.wg.Go(p.receive)
@@ -67,17 +79,25 @@
 // Set replaces the faults.
 func (p *UDP) Set(f Faults) { p.state.set(f) }
 
+// SetFor replaces the faults by those of each client's address.
+func (p *UDP) SetFor(f func(source netip.Addr) Faults) { p.state.setFor(f) }
+
 // Traffic returns the packets and payload bytes delivered so far, both
 // directions together.
 func (p *UDP) Traffic() (packets, bytes uint64) { return p.packets.Load(), p.bytes.Load() }
 
 // SilenceExisting drops the packets of the present flows for good. A client
 // gets through again from another port.
-func (p *UDP) SilenceExisting() {
+func (p *UDP) SilenceExisting() { p.SilenceSome(func(netip.Addr) bool { return true }) }
+
+// SilenceSome is SilenceExisting for the flows of some clients.
+func (p *UDP) SilenceSome(of func(source netip.Addr) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, f := range p.flows {
-		f.silence.Do(func() { close(f.silent) })
+		if of(f.source()) {
+			f.silence.Do(func() { close(f.silent) })
+		}
 	}
 }
 
@@ -125,7 +145,11 @@
 	if f := p.flows[client]; f != nil || p.ended() {
 		return f
 	}
-	upstream, err := net.DialUDP("udp", nil, p.target)
+	var from *net.UDPAddr
+	if p.opt.KeepSource {
+		from = net.UDPAddrFromAddrPort(netip.AddrPortFrom(client.Addr().Unmap(), 0))
+	}
+	upstream, err := net.DialUDP("udp", from, p.target)
 	if err != nil {
 		return nil
 	}
@@ -155,7 +179,7 @@
 
 // enqueue applies the faults that drop, repeat or delay a packet.
 func (p *UDP) enqueue(f *udpFlow, d direction, payload []byte) {
-	faults, _ := p.state.get()
+	faults, _ := p.state.get(f.source())
 	select {
 	case <-f.silent:
 		return
@@ -206,7 +230,7 @@
 }
 
 func (p *UDP) deliver(f *udpFlow, d direction, pkt packet) {
-	if !p.state.await(p.done, func(faults Faults) bool { return faults.Freeze }) {
+	if !p.state.await(p.done, f.source(), func(faults Faults) bool { return faults.Freeze }) {
 		return
 	}
 	select {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -18,7 +18,7 @@
 	"github.com/siskinford/siskinford/core/timeline"
 	"github.com/siskinford/siskinford/entry/server"
 	"github.com/siskinford/siskinford/fleet/config"
-	fleetplatform "github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/lab/engine"
 	"github.com/siskinford/siskinford/lab/plainservice"
 	"github.com/siskinford/siskinford/lab/platform"
@@ -46,7 +46,7 @@
 	Zone   id.Zone
 	Server *server.Server
 	Ring   *timeline.Ring
-	Store  *fleetplatform.Client
+	Store  *objectapi.Client
 }
 
 // URL returns the base URL for callers.
@@ -105,16 +105,16 @@
 }
 
 // hosts returns the platform's host list.
-func (f *Fleet) hosts() []fleetplatform.Host {
-	var list []fleetplatform.Host
+func (f *Fleet) hosts() []objectapi.Host {
+	var list []objectapi.Host
 	for _, e := range f.Entries {
-		list = append(list, fleetplatform.Host{
-			Name: e.Host, Zone: e.Zone, Address: e.Server.PeerAddress(), Role: string(keys.RoleEntry), State: fleetplatform.HostLive,
+		list = append(list, objectapi.Host{
+			Name: e.Host, Zone: e.Zone, Address: e.Server.PeerAddress(), Role: string(keys.RoleEntry), State: objectapi.HostLive,
 		})
 	}
 	for _, a := range f.Agents {
-		list = append(list, fleetplatform.Host{
-			Name: a.Endpoint.Host, Zone: a.Endpoint.Zone, Role: string(keys.RoleAgent), State: fleetplatform.HostLive,
+		list = append(list, objectapi.Host{
+			Name: a.Endpoint.Host, Zone: a.Endpoint.Zone, Role: string(keys.RoleAgent), State: objectapi.HostLive,
 		})
 	}
 	return list
@@ -191,7 +191,7 @@
 
 // configure writes the configuration of the fleet to the platform.
 func (f *Fleet) configure(ctx context.Context) error {
-	store, err := fleetplatform.NewClient(fleetplatform.ClientConfig{BaseURL: f.PlatformURL, Caller: "demo"})
+	store, err := objectapi.NewClient(objectapi.ClientConfig{BaseURL: f.PlatformURL, Caller: "demo"})
 	if err != nil {
 		return err
 	}
@@ -224,7 +224,7 @@
 	return nil
 }
 
-func accept(ctx context.Context, store fleetplatform.Store, kind config.Kind, value any) error {
+func accept(ctx context.Context, store objectapi.Store, kind config.Kind, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrapf(err, "encode configuration %q", kind)
@@ -241,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	e.Store, err = fleetplatform.NewClient(fleetplatform.ClientConfig{BaseURL: f.PlatformURL, Caller: string(host)})
+	e.Store, err = objectapi.NewClient(objectapi.ClientConfig{BaseURL: f.PlatformURL, Caller: string(host)})
 	if err != nil {
 		return err
 	}
--- a/lab/platform/claim_test.go
+++ b/lab/platform/claim_test.go
@@ -11,7 +11,7 @@
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/claim"
 	"github.com/siskinford/siskinford/fleet/duty"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	lab "github.com/siskinford/siskinford/lab/platform"
 )
 
@@ -49,7 +49,7 @@
 	}
 }
 
-func newClaimer(t *testing.T, store platform.Store, now time.Time) *claim.Claimer {
+func newClaimer(t *testing.T, store objectapi.Store, now time.Time) *claim.Claimer {
 	t.Helper()
 	c, err := claim.New(claim.Config{Store: store, Timeout: time.Minute, FlushTimeout: time.Minute, Now: func() time.Time { return now }})
 	assert.NilError(t, err)
@@ -69,7 +69,7 @@
 	key, err := claim.ParseKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
 	assert.NilError(t, err)
 	for _, outage := range []lab.Outage{lab.OutageRefuse, lab.OutageHang} {
-		p, c := client(t, func(cfg *platform.ClientConfig) { cfg.CallTimeout = 20 * time.Millisecond })
+		p, c := client(t, func(cfg *objectapi.ClientConfig) { cfg.CallTimeout = 20 * time.Millisecond })
 		a := newClaimer(t, c, key.Time())
 		assert.NilError(t, p.SetFaults(lab.Faults{Outage: outage}))
 		for range 5 {
--- a/lab/platform/contract_test.go
+++ b/lab/platform/contract_test.go
@@ -9,15 +9,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	lab "github.com/siskinford/siskinford/lab/platform"
 )
 
 const kind = "thing"
 
 // client starts a platform and returns it with a client that has short timeouts.
-func client(t *testing.T, change func(*platform.ClientConfig)) (*lab.Platform, *platform.Client) {
+func client(t *testing.T, change func(*objectapi.ClientConfig)) (*lab.Platform, *objectapi.Client) {
 	t.Helper()
 	p := lab.New(lab.Config{})
 	server := httptest.NewServer(p.Handler())
@@ -29,35 +29,35 @@
 	return p, clientAt(t, server.URL, change)
 }
 
-func clientAt(t *testing.T, url string, change func(*platform.ClientConfig)) *platform.Client {
+func clientAt(t *testing.T, url string, change func(*objectapi.ClientConfig)) *objectapi.Client {
 	t.Helper()
-	cfg := platform.ClientConfig{
+	cfg := objectapi.ClientConfig{
 		BaseURL: url, Caller: "test", Seed: 1,
 		PollWait:        50 * time.Millisecond,
-		Backoff:         platform.Backoff{Min: time.Millisecond, Max: 10 * time.Millisecond},
+		Backoff:         objectapi.Backoff{Min: time.Millisecond, Max: 10 * time.Millisecond},
 		WritesPerSecond: 1000, ReadsPerSecond: 1000,
 	}
 	if change != nil {
 		change(&cfg)
 	}
-	c, err := platform.NewClient(cfg)
+	c, err := objectapi.NewClient(cfg)
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
 	return c
 }
 
-// TestStoreContract runs the same cases on every implementation of platform.Store.
+// TestStoreContract runs the same cases on every implementation of objectapi.Store.
 func TestStoreContract(t *testing.T) {
-	implementations := map[string]func(t *testing.T) platform.Store{
-		"client": func(t *testing.T) platform.Store {
+	implementations := map[string]func(t *testing.T) objectapi.Store{
+		"client": func(t *testing.T) objectapi.Store {
 			_, c := client(t, nil)
 			return c
 		},
-		"memstore": func(*testing.T) platform.Store {
+		"memstore": func(*testing.T) objectapi.Store {
 			return memstore.New(memstore.Config{PollWait: 50 * time.Millisecond})
 		},
 	}
-	cases := map[string]func(t *testing.T, s platform.Store){
+	cases := map[string]func(t *testing.T, s objectapi.Store){
 		"create, update, get": contractUpdate,
 		"conflict":            contractConflict,
 		"delete and recreate": contractDelete,
@@ -70,12 +70,12 @@
 	}
 }
 
-func contractUpdate(t *testing.T, s platform.Store) {
+func contractUpdate(t *testing.T, s objectapi.Store) {
 	ctx := context.Background()
 	_, err := s.Get(ctx, kind, "a/b c")
-	var notFound *platform.NotFoundError
+	var notFound *objectapi.NotFoundError
 	assert.Assert(t, errors.As(err, &notFound), "%v", err)
-	first, err := s.Put(ctx, platform.Object{Kind: kind, Name: "a/b c", Value: []byte("1"), WriteID: "w1"})
+	first, err := s.Put(ctx, objectapi.Object{Kind: kind, Name: "a/b c", Value: []byte("1"), WriteID: "w1"})
 	assert.NilError(t, err)
 	assert.Equal(t, first.Version, uint64(1))
 	first.Value = []byte("2")
@@ -90,21 +90,21 @@
 	assert.Equal(t, got.Name, "a/b c")
 }
 
-func contractConflict(t *testing.T, s platform.Store) {
+func contractConflict(t *testing.T, s objectapi.Store) {
 	ctx := context.Background()
-	put := platform.Object{Kind: kind, Name: "a", Value: []byte("1"), WriteID: "w1"}
+	put := objectapi.Object{Kind: kind, Name: "a", Value: []byte("1"), WriteID: "w1"}
 	_, err := s.Put(ctx, put)
 	assert.NilError(t, err)
 	put.WriteID = "w2"
 	for _, want := range []uint64{0, 2} {
 		put.Version = want
 		_, err = s.Put(ctx, put)
-		var conflict *platform.ConflictError
+		var conflict *objectapi.ConflictError
 		assert.Assert(t, errors.As(err, &conflict), "%v", err)
 		assert.Equal(t, conflict.Current.Version, uint64(1))
 		assert.Equal(t, string(conflict.Current.Value), "1")
 	}
-	var conflict *platform.ConflictError
+	var conflict *objectapi.ConflictError
 	assert.Assert(t, errors.As(s.Delete(ctx, kind, "a", 7), &conflict))
 	put.Name, put.Version = "absent", 3
 	_, err = s.Put(ctx, put)
@@ -112,25 +112,25 @@
 	assert.Equal(t, conflict.Current.Version, uint64(0))
 }
 
-func contractDelete(t *testing.T, s platform.Store) {
+func contractDelete(t *testing.T, s objectapi.Store) {
 	ctx := context.Background()
-	o, err := s.Put(ctx, platform.Object{Kind: kind, Name: "a"})
+	o, err := s.Put(ctx, objectapi.Object{Kind: kind, Name: "a"})
 	assert.NilError(t, err)
 	assert.NilError(t, s.Delete(ctx, kind, "a", o.Version))
-	var notFound *platform.NotFoundError
+	var notFound *objectapi.NotFoundError
 	assert.Assert(t, errors.As(s.Delete(ctx, kind, "a", o.Version), &notFound))
 	changes, _, err := s.Watch(ctx, kind, o.Revision)
 	assert.NilError(t, err)
 	assert.Assert(t, len(changes) == 1 && changes[0].Deleted)
-	again, err := s.Put(ctx, platform.Object{Kind: kind, Name: "a"})
+	again, err := s.Put(ctx, objectapi.Object{Kind: kind, Name: "a"})
 	assert.NilError(t, err)
 	assert.Assert(t, again.Version > o.Version, "versions grow over a deletion")
 }
 
-func contractWatch(t *testing.T, s platform.Store) {
+func contractWatch(t *testing.T, s objectapi.Store) {
 	ctx := context.Background()
 	for _, name := range []string{"b", "a"} {
-		_, err := s.Put(ctx, platform.Object{Kind: kind, Name: name})
+		_, err := s.Put(ctx, objectapi.Object{Kind: kind, Name: name})
 		assert.NilError(t, err)
 	}
 	objects, revision, err := s.List(ctx, kind)
@@ -143,7 +143,7 @@
 	assert.Equal(t, after, revision)
 	written := make(chan error, 1)
 	go func() {
-		_, err := s.Put(ctx, platform.Object{Kind: kind, Name: "c"})
+		_, err := s.Put(ctx, objectapi.Object{Kind: kind, Name: "c"})
 		written <- err
 	}()
 	assert.NilError(t, <-written)
@@ -157,15 +157,15 @@
 func TestValueLimit(t *testing.T) {
 	_, c := client(t, nil)
 	ctx := context.Background()
-	_, err := c.Put(ctx, platform.Object{Kind: kind, Name: "a", Value: make([]byte, platform.MaxValueBytes)})
+	_, err := c.Put(ctx, objectapi.Object{Kind: kind, Name: "a", Value: make([]byte, objectapi.MaxValueBytes)})
 	assert.NilError(t, err)
-	_, err = c.Put(ctx, platform.Object{Kind: kind, Name: "b", Value: make([]byte, platform.MaxValueBytes+1)})
-	var tooLarge *platform.ValueTooLargeError
+	_, err = c.Put(ctx, objectapi.Object{Kind: kind, Name: "b", Value: make([]byte, objectapi.MaxValueBytes+1)})
+	var tooLarge *objectapi.ValueTooLargeError
 	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
 }
 
 func TestClientConfigFindings(t *testing.T) {
-	_, err := platform.NewClient(platform.ClientConfig{BaseURL: "localhost", CallTimeout: -1})
+	_, err := objectapi.NewClient(objectapi.ClientConfig{BaseURL: "localhost", CallTimeout: -1})
 	assert.ErrorContains(t, err, "base URL")
 	assert.ErrorContains(t, err, "caller")
 	assert.ErrorContains(t, err, "call timeout")
--- a/lab/platform/fault_test.go
+++ b/lab/platform/fault_test.go
@@ -16,12 +16,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	lab "github.com/siskinford/siskinford/lab/platform"
 )
 
-func object(name, value string) platform.Object {
-	return platform.Object{Kind: kind, Name: name, Value: []byte(value)}
+func object(name, value string) objectapi.Object {
+	return objectapi.Object{Kind: kind, Name: name, Value: []byte(value)}
 }
 
 // TestLostAnswers covers writes whose answers are lost, for the writer alone
@@ -39,7 +39,7 @@
 		"write held on its way":              {faults: lab.Faults{HoldWrites: 1}, version: 1, want: "mine"},
 		"two writes held on their way":       {faults: lab.Faults{HoldWrites: 2}, version: 1, want: "mine"},
 		"answer lost, then stale reads":      {faults: lab.Faults{LoseAnswers: 1, StaleVersions: 1}, version: 1, want: "mine"},
-		"answer of a conflicting write lost": {faults: lab.Faults{LoseAnswers: 1}, version: 7, wantErr: new(*platform.OutcomeUnknownError), want: "old"},
+		"answer of a conflicting write lost": {faults: lab.Faults{LoseAnswers: 1}, version: 7, wantErr: new(*objectapi.OutcomeUnknownError), want: "old"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -79,9 +79,9 @@
 		others  int
 		wantErr any
 	}{
-		"lost before effect, one other write":  {faults: lab.Faults{HoldWrites: 1}, others: 1, wantErr: new(*platform.ConflictError)},
-		"lost before effect, two other writes": {faults: lab.Faults{HoldWrites: 1}, others: 2, wantErr: new(*platform.OutcomeUnknownError)},
-		"lost after effect, overwritten":       {faults: lab.Faults{LoseAnswers: 1}, others: 1, wantErr: new(*platform.OutcomeUnknownError)},
+		"lost before effect, one other write":  {faults: lab.Faults{HoldWrites: 1}, others: 1, wantErr: new(*objectapi.ConflictError)},
+		"lost before effect, two other writes": {faults: lab.Faults{HoldWrites: 1}, others: 2, wantErr: new(*objectapi.OutcomeUnknownError)},
+		"lost after effect, overwritten":       {faults: lab.Faults{LoseAnswers: 1}, others: 1, wantErr: new(*objectapi.OutcomeUnknownError)},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -121,10 +121,10 @@
 // TestOutcomeUnknownMayArriveLater shows why a read-back of the old version
 // proves nothing: the write takes effect after the client gave up.
 func TestOutcomeUnknownMayArriveLater(t *testing.T) {
-	p, c := client(t, func(cfg *platform.ClientConfig) { cfg.ResolveTimeout = time.Second })
+	p, c := client(t, func(cfg *objectapi.ClientConfig) { cfg.ResolveTimeout = time.Second })
 	assert.NilError(t, p.SetFaults(lab.Faults{HoldWrites: 1000}))
 	_, err := c.Put(context.Background(), object("a", "mine"))
-	var unknown *platform.OutcomeUnknownError
+	var unknown *objectapi.OutcomeUnknownError
 	assert.Assert(t, errors.As(err, &unknown), "%v", err)
 	_, err = p.Store().Get(context.Background(), kind, "a")
 	assert.ErrorContains(t, err, "does not exist")
@@ -147,16 +147,16 @@
 // TestOutage covers every method during each kind of outage.
 func TestOutage(t *testing.T) {
 	for _, outage := range []lab.Outage{lab.OutageRefuse, lab.OutageHang} {
-		p, c := client(t, func(cfg *platform.ClientConfig) {
+		p, c := client(t, func(cfg *objectapi.ClientConfig) {
 			cfg.CallTimeout = 20 * time.Millisecond
 			cfg.PollGrace = 20 * time.Millisecond
 			cfg.ResolveTimeout = 50 * time.Millisecond
-			cfg.Backoff = platform.Backoff{Min: time.Hour, Max: time.Hour}
+			cfg.Backoff = objectapi.Backoff{Min: time.Hour, Max: time.Hour}
 		})
 		assert.NilError(t, p.SetFaults(lab.Faults{Outage: outage}))
 		ctx := context.Background()
-		var unavailable *platform.UnavailableError
-		var unknown *platform.OutcomeUnknownError
+		var unavailable *objectapi.UnavailableError
+		var unknown *objectapi.OutcomeUnknownError
 		_, err := c.Put(ctx, object("a", "x"))
 		assert.Assert(t, errors.As(err, &unknown), "%v", err)
 		for i := 0; i < 3; i++ {
@@ -180,7 +180,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
 	_, err = clientAt(t, "http://"+l.Addr().String(), nil).Put(context.Background(), object("a", "x"))
-	var unavailable *platform.UnavailableError
+	var unavailable *objectapi.UnavailableError
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 }
 
@@ -191,12 +191,12 @@
 	c := clientAt(t, server.URL, nil)
 	_, err := c.Put(context.Background(), object("a", "x"))
 	assert.NilError(t, err)
-	var unavailable *platform.UnavailableError
+	var unavailable *objectapi.UnavailableError
 	_, err = c.Put(context.Background(), object("b", "x"))
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 	assert.ErrorContains(t, err, "429")
 	assert.Equal(t, p.Calls().Limited, int64(1))
-	own := clientAt(t, server.URL, func(cfg *platform.ClientConfig) { cfg.ReadsPerSecond = 1e-9 })
+	own := clientAt(t, server.URL, func(cfg *objectapi.ClientConfig) { cfg.ReadsPerSecond = 1e-9 })
 	_, _, err = own.List(context.Background(), kind)
 	assert.NilError(t, err)
 	_, _, err = own.List(context.Background(), kind)
@@ -211,7 +211,7 @@
 		for _, method := range []string{http.MethodPut, http.MethodDelete} {
 			t.Run(cut+"/"+method, func(t *testing.T) {
 				s := newCutServer(t, cut)
-				c := clientAt(t, s.url(), func(cfg *platform.ClientConfig) { cfg.ResolveTimeout = time.Nanosecond })
+				c := clientAt(t, s.url(), func(cfg *objectapi.ClientConfig) { cfg.ResolveTimeout = time.Nanosecond })
 				ctx := context.Background()
 				_, _ = c.Get(ctx, kind, "a") // leaves an idle connection that a replay could use
 				s.cutting.Store(true)
@@ -221,7 +221,7 @@
 				} else {
 					err = c.Delete(ctx, kind, "a", 1)
 				}
-				var unknown *platform.OutcomeUnknownError
+				var unknown *objectapi.OutcomeUnknownError
 				assert.Assert(t, errors.As(err, &unknown), "%v", err)
 				assert.Equal(t, s.attempts.Load(), int64(1), "attempts to send the write")
 			})
@@ -295,7 +295,7 @@
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
 	assert.Equal(t, send(t, http.MethodPut, server.URL+"/lab/faults", `{"outage":"refuse"}`), http.StatusOK)
-	assert.Equal(t, send(t, http.MethodGet, server.URL+platform.PathHosts, ""), http.StatusServiceUnavailable)
+	assert.Equal(t, send(t, http.MethodGet, server.URL+objectapi.PathHosts, ""), http.StatusServiceUnavailable)
 	assert.Equal(t, send(t, http.MethodPut, server.URL+"/lab/faults", `{"outage":"odd","delay_ms":-1}`), http.StatusBadRequest)
 	assert.Equal(t, send(t, http.MethodPut, server.URL+"/lab/faults", `{"unknown":1}`), http.StatusBadRequest)
 	assert.Equal(t, send(t, http.MethodPut, server.URL+"/lab/faults", `{}`), http.StatusOK)
@@ -323,7 +323,7 @@
 
 func TestHostLag(t *testing.T) {
 	p := lab.New(lab.Config{HostLag: time.Hour})
-	p.SetHosts([]platform.Host{{Name: "h1"}})
+	p.SetHosts([]objectapi.Host{{Name: "h1"}})
 	p.SetHostLag(0)
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
@@ -331,8 +331,8 @@
 	hosts, err := c.Hosts(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, len(hosts), 0)
-	p.SetHosts([]platform.Host{{Name: "h1", State: platform.HostLeaving}})
+	p.SetHosts([]objectapi.Host{{Name: "h1", State: objectapi.HostLeaving}})
 	hosts, err = c.Hosts(context.Background())
 	assert.NilError(t, err)
-	assert.Equal(t, hosts[0].State, platform.HostLeaving)
+	assert.Equal(t, hosts[0].State, objectapi.HostLeaving)
 }
--- a/lab/platform/handler.go
+++ b/lab/platform/handler.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // defaultPollWait bounds a watch that asks for no bound of its own.
@@ -21,11 +21,11 @@
 // Handler serves the object API under /v1 and the fault switches under /lab.
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(platform.PathObjects+"/{kind}/{name}", p.call(CallGet, p.get))
-	r.Put(platform.PathObjects+"/{kind}/{name}", p.call(CallPut, p.put))
-	r.Delete(platform.PathObjects+"/{kind}/{name}", p.call(CallDelete, p.delete))
-	r.Get(platform.PathObjects+"/{kind}", p.listOrWatch)
-	r.Get(platform.PathHosts, p.call(CallHosts, p.listHosts))
+	r.Get(objectapi.PathObjects+"/{kind}/{name}", p.call(CallGet, p.get))
+	r.Put(objectapi.PathObjects+"/{kind}/{name}", p.call(CallPut, p.put))
+	r.Delete(objectapi.PathObjects+"/{kind}/{name}", p.call(CallDelete, p.delete))
+	r.Get(objectapi.PathObjects+"/{kind}", p.listOrWatch)
+	r.Get(objectapi.PathHosts, p.call(CallHosts, p.listHosts))
 	p.labRoutes(r)
 	return r
 }
@@ -33,7 +33,7 @@
 // call counts a call, applies its rate limit, outage and delay, then runs it.
 func (p *Platform) call(kind CallKind, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		p.count(r.Header.Get(platform.HeaderCaller), kind)
+		p.count(r.Header.Get(objectapi.HeaderCaller), kind)
 		limit := p.reads
 		if kind.isWrite() {
 			limit = p.writes
@@ -97,7 +97,7 @@
 }
 
 func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has(platform.QueryAfter) {
+	if r.URL.Query().Has(objectapi.QueryAfter) {
 		p.call(CallWatch, p.watch)(w, r)
 		return
 	}
@@ -111,11 +111,11 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.ObjectList{Revision: revision, Objects: objects})
+	writeJSON(w, http.StatusOK, objectapi.ObjectList{Revision: revision, Objects: objects})
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get(platform.QueryAfter), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get(objectapi.QueryAfter), 10, 64)
 	if err != nil {
 		http.Error(w, "query parameter \"after\" is not a revision", http.StatusBadRequest)
 		return
@@ -133,15 +133,15 @@
 	if !p.pass(w, r) {
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.ObjectList{Revision: revision, Objects: objects})
+	writeJSON(w, http.StatusOK, objectapi.ObjectList{Revision: revision, Objects: objects})
 }
 
 func pollWait(r *http.Request) time.Duration {
-	ms, err := strconv.Atoi(r.URL.Query().Get(platform.QueryWait))
+	ms, err := strconv.Atoi(r.URL.Query().Get(objectapi.QueryWait))
 	if err != nil || ms <= 0 {
 		return defaultPollWait
 	}
-	return min(time.Duration(ms)*time.Millisecond, platform.MaxPollWait)
+	return min(time.Duration(ms)*time.Millisecond, objectapi.MaxPollWait)
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
@@ -149,17 +149,17 @@
 	if !ok {
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes))
 	if err != nil {
 		writeBodyError(w, err)
 		return
 	}
 	kind, name := objectKey(r)
-	o := platform.Object{
+	o := objectapi.Object{
 		Kind: kind, Name: name, Version: version,
-		WriteID: r.Header.Get(platform.HeaderWriteID), Value: value,
+		WriteID: r.Header.Get(objectapi.HeaderWriteID), Value: value,
 	}
-	p.write(w, func(ctx context.Context) (platform.Object, error) {
+	p.write(w, func(ctx context.Context) (objectapi.Object, error) {
 		written, err := p.store.Put(ctx, o)
 		written.Value = nil
 		return written, err
@@ -172,16 +172,16 @@
 		return
 	}
 	kind, name := objectKey(r)
-	writeID := r.Header.Get(platform.HeaderWriteID)
-	p.write(w, func(ctx context.Context) (platform.Object, error) {
+	writeID := r.Header.Get(objectapi.HeaderWriteID)
+	p.write(w, func(ctx context.Context) (objectapi.Object, error) {
 		err := p.store.DeleteAs(ctx, kind, name, version, writeID)
-		return platform.Object{Kind: kind, Name: name, Deleted: true}, err
+		return objectapi.Object{Kind: kind, Name: name, Deleted: true}, err
 	})
 }
 
 // write applies a write with the faults that concern writes. A write takes
 // effect even if its caller has gone.
-func (p *Platform) write(w http.ResponseWriter, apply func(context.Context) (platform.Object, error)) {
+func (p *Platform) write(w http.ResponseWriter, apply func(context.Context) (objectapi.Object, error)) {
 	ctx := context.Background()
 	if p.takeHold(func() { _, _ = apply(ctx) }) {
 		panic(http.ErrAbortHandler)
@@ -198,7 +198,7 @@
 }
 
 func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, platform.HostList{Hosts: p.visibleHosts(time.Now())})
+	writeJSON(w, http.StatusOK, objectapi.HostList{Hosts: p.visibleHosts(time.Now())})
 }
 
 func objectKey(r *http.Request) (kind, name string) {
@@ -218,7 +218,7 @@
 }
 
 func expectedVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
-	version, err := strconv.ParseUint(r.URL.Query().Get(platform.QueryVersion), 10, 64)
+	version, err := strconv.ParseUint(r.URL.Query().Get(objectapi.QueryVersion), 10, 64)
 	if err != nil {
 		http.Error(w, "query parameter \"version\" is not a version", http.StatusBadRequest)
 		return 0, false
@@ -236,8 +236,8 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var notFound *platform.NotFoundError
-	var conflict *platform.ConflictError
+	var notFound *objectapi.NotFoundError
+	var conflict *objectapi.ConflictError
 	switch {
 	case errors.As(err, &notFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 )
 
 const (
@@ -46,7 +46,7 @@
 
 type hostSet struct {
 	since time.Time
-	hosts []platform.Host
+	hosts []objectapi.Host
 }
 
 // New returns an empty platform.
@@ -58,7 +58,7 @@
 		cfg.ReadsPerSecond = defaultReadsPerSecond
 	}
 	return &Platform{
-		store:         memstore.New(memstore.Config{PollWait: platform.MaxPollWait}),
+		store:         memstore.New(memstore.Config{PollWait: objectapi.MaxPollWait}),
 		writes:        limiter(cfg.WritesPerSecond),
 		reads:         limiter(cfg.ReadsPerSecond),
 		lag:           cfg.HostLag,
@@ -75,10 +75,10 @@
 func (p *Platform) Store() *memstore.Store { return p.store }
 
 // SetHosts replaces the host list. The change shows after the lag.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []objectapi.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	set := hostSet{since: time.Now().Add(p.lag), hosts: append([]platform.Host{}, hosts...)}
+	set := hostSet{since: time.Now().Add(p.lag), hosts: append([]objectapi.Host{}, hosts...)}
 	p.hosts = append(p.hosts, set)
 }
 
@@ -90,7 +90,7 @@
 }
 
 // visibleHosts returns the latest host list that is due at now and forgets earlier ones.
-func (p *Platform) visibleHosts(now time.Time) []platform.Host {
+func (p *Platform) visibleHosts(now time.Time) []objectapi.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := -1
@@ -100,7 +100,7 @@
 		}
 	}
 	if last < 0 {
-		return []platform.Host{}
+		return []objectapi.Host{}
 	}
 	p.hosts = p.hosts[last:]
 	return p.hosts[0].hosts
--- a/lab/platform/silent_test.go
+++ b/lab/platform/silent_test.go
@@ -12,7 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/lab/faultproxy"
 	lab "github.com/siskinford/siskinford/lab/platform"
 )
@@ -41,7 +41,7 @@
 		},
 		"put": func() error {
 			var err error
-			written, err = c.Put(ctx, platform.Object{Kind: kind, Name: "a", Version: written.Version})
+			written, err = c.Put(ctx, objectapi.Object{Kind: kind, Name: "a", Version: written.Version})
 			return err
 		},
 	}
@@ -63,7 +63,7 @@
 	proxy, err := faultproxy.NewTCP(strings.TrimPrefix(server.URL, "http://"), 1)
 	assert.NilError(t, err)
 	t.Cleanup(proxy.Close)
-	c := clientAt(t, "http://"+proxy.Addr(), func(cfg *platform.ClientConfig) {
+	c := clientAt(t, "http://"+proxy.Addr(), func(cfg *objectapi.ClientConfig) {
 		cfg.PollWait = 200 * time.Millisecond
 		cfg.PollGrace = 200 * time.Millisecond
 	})
@@ -80,7 +80,7 @@
 	proxy.SilenceExisting()
 	_, err = p.Store().Put(ctx, object("a", "1"))
 	assert.NilError(t, err)
-	var unavailable *platform.UnavailableError
+	var unavailable *objectapi.UnavailableError
 	err = <-watched
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 	objects, _, err := c.Watch(ctx, kind, 0)
@@ -102,10 +102,10 @@
 	ctx := context.Background()
 	var wg sync.WaitGroup
 	for i := range clients {
-		c := clientAt(t, server.URL, func(cfg *platform.ClientConfig) {
+		c := clientAt(t, server.URL, func(cfg *objectapi.ClientConfig) {
 			cfg.Caller = fmt.Sprintf("entry-%d", i)
 			cfg.Seed = uint64(i) + 1
-			cfg.Backoff = platform.Backoff{Min: time.Hour, Max: time.Hour}
+			cfg.Backoff = objectapi.Backoff{Min: time.Hour, Max: time.Hour}
 		})
 		wg.Go(func() {
 			for range 100 {
--- a/lab/platform/switches.go
+++ b/lab/platform/switches.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 )
 
 // maxSwitchBytes limits the body of a request that sets faults or hosts.
@@ -46,7 +46,7 @@
 }
 
 func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
-	var l platform.HostList
+	var l objectapi.HostList
 	if !readJSON(w, r, &l) {
 		return
 	}
--- a/lab/procs/cluster.go
+++ b/lab/procs/cluster.go
@@ -12,7 +12,7 @@
 
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform"
+	"github.com/siskinford/siskinford/fleet/objectapi"
 	"github.com/siskinford/siskinford/lab/faultproxy"
 	labplatform "github.com/siskinford/siskinford/lab/platform"
 	"github.com/siskinford/siskinford/wire/keys"
@@ -82,7 +82,7 @@
 	identities  []identity // with KeyDir only
 	Platform    *Process
 	PlatformURL string
-	Store       *platform.Client
+	Store       *objectapi.Client
 	Endpoints   []*Endpoint
 	Entries     []*Entry
 	Ranks       *Ranks
@@ -122,7 +122,7 @@
 	if c.Platform, c.PlatformURL, err = c.startLab(ctx, "platform", "platform"); err != nil {
 		return err
 	}
-	if c.Store, err = platform.NewClient(platform.ClientConfig{BaseURL: c.PlatformURL, Caller: "lab"}); err != nil {
+	if c.Store, err = objectapi.NewClient(objectapi.ClientConfig{BaseURL: c.PlatformURL, Caller: "lab"}); err != nil {
 		return err
 	}
 	if err := c.startRanks(ctx); err != nil {
@@ -297,19 +297,19 @@
 // SetHosts replaces the platform's host list by all hosts of the cluster, with
 // the given ones marked as leaving.
 func (c *Cluster) SetHosts(ctx context.Context, leaving map[id.Host]bool) error {
-	var list platform.HostList
-	add := func(h platform.Host) {
-		h.State = platform.HostLive
+	var list objectapi.HostList
+	add := func(h objectapi.Host) {
+		h.State = objectapi.HostLive
 		if leaving[h.Name] {
-			h.State = platform.HostLeaving
+			h.State = objectapi.HostLeaving
 		}
 		list.Hosts = append(list.Hosts, h)
 	}
 	for _, e := range c.Entries {
-		add(platform.Host{Name: e.Host, Zone: e.Zone, Address: e.Peers, Role: string(keys.RoleEntry)})
+		add(objectapi.Host{Name: e.Host, Zone: e.Zone, Address: e.Peers, Role: string(keys.RoleEntry)})
 	}
 	for _, e := range c.Endpoints {
-		add(platform.Host{Name: e.Config.Host, Zone: e.Config.Zone, Role: string(keys.RoleAgent)})
+		add(objectapi.Host{Name: e.Config.Host, Zone: e.Config.Zone, Role: string(keys.RoleAgent)})
 	}
 	return c.putLab(ctx, "/lab/hosts", list)
 }
--- a/lab/slopes/node.go
+++ b/lab/slopes/node.go
@@ -14,9 +14,9 @@
 	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
 	"github.com/siskinford/siskinford/fleet/member"
-	"github.com/siskinford/siskinford/fleet/platform"
-	"github.com/siskinford/siskinford/fleet/platform/faultstore"
-	"github.com/siskinford/siskinford/fleet/platform/memstore"
+	"github.com/siskinford/siskinford/fleet/objectapi"
+	"github.com/siskinford/siskinford/fleet/objectapi/faultstore"
+	"github.com/siskinford/siskinford/fleet/objectapi/memstore"
 	"github.com/siskinford/siskinford/fleet/spread"
 	"github.com/siskinford/siskinford/fleet/transport"
 	"github.com/siskinford/siskinford/fleet/transport/memnet"
@@ -60,7 +60,7 @@
 // newBench starts n nodes in zones of zoneSize and returns when they had time
 // to find each other.
 func newBench(ctx context.Context, c Config, mode Mode, n, zoneSize int, loss float64) (*bench, error) {
-	memory := memstore.New(memstore.Config{PollWait: platform.MaxPollWait})
+	memory := memstore.New(memstore.Config{PollWait: objectapi.MaxPollWait})
 	b := &bench{
 		mode:     mode,
 		net:      memnet.New(memnet.Config{Seed: c.Seed, Loss: loss, Delay: linkDelay}),
@@ -68,12 +68,12 @@
 		platform: faultstore.New(memory),
 		zones:    (n + zoneSize - 1) / zoneSize,
 	}
-	var list []platform.Host
+	var list []objectapi.Host
 	for i := range n {
 		name := id.Host(fmt.Sprintf("entry-%03d", i))
-		list = append(list, platform.Host{
+		list = append(list, objectapi.Host{
 			Name: name, Zone: id.Zone(fmt.Sprintf("zone-%d", i%b.zones)),
-			Address: fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250+1), State: platform.HostLive,
+			Address: fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250+1), State: objectapi.HostLive,
 		})
 	}
 	if _, err := b.accept(ctx, config.KindTeams); err != nil {
@@ -88,7 +88,7 @@
 	return b, timer.Sleep(ctx, c.Settle)
 }
 
-func (b *bench) start(ctx context.Context, seed uint64, h platform.Host, list []platform.Host) error {
+func (b *bench) start(ctx context.Context, seed uint64, h objectapi.Host, list []objectapi.Host) error {
 	n := &node{
 		host: h.Name, zone: h.Zone, address: h.Address,
 		net: b.net.Join(h.Address), holder: spread.NewHolder(nil),
@@ -176,7 +176,7 @@
 
 // watchEach is the baseline: it follows the platform without help of peers,
 // with the same waits after failures as the reader of a zone.
-func watchEach(ctx context.Context, store platform.Store, holder *spread.Holder, seed uint64) {
+func watchEach(ctx context.Context, store objectapi.Store, holder *spread.Holder, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	wait := spread.Default().BackoffMin
 	for ctx.Err() == nil {
@@ -190,7 +190,7 @@
 	}
 }
 
-func watchOnce(ctx context.Context, store platform.Store, holder *spread.Holder) error {
+func watchOnce(ctx context.Context, store objectapi.Store, holder *spread.Holder) error {
 	objects, revision, err := store.List(ctx, config.ObjectKind)
 	for end := time.Now().Add(spread.Default().ListInterval); err == nil && time.Now().Before(end); {
 		for _, o := range objects {
@@ -239,9 +239,9 @@
 
 // accept writes the next version of a kind, past the platform's faults.
 func (b *bench) accept(ctx context.Context, kind config.Kind) (uint64, error) {
-	o := platform.Object{Kind: config.ObjectKind, Name: string(kind), Value: smallTeams}
+	o := objectapi.Object{Kind: config.ObjectKind, Name: string(kind), Value: smallTeams}
 	current, err := b.memory.Get(ctx, o.Kind, o.Name)
-	var missing *platform.NotFoundError
+	var missing *objectapi.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
 		return 0, err
 	}
--- a/lab/slopes/outage.go
+++ b/lab/slopes/outage.go
@@ -7,7 +7,7 @@
 
 	"github.com/siskinford/siskinford/core/timer"
 	"github.com/siskinford/siskinford/fleet/config"
-	"github.com/siskinford/siskinford/fleet/platform/faultstore"
+	"github.com/siskinford/siskinford/fleet/objectapi/faultstore"
 )
 
 // returnSpan is the time after the return of the platform in which calls are counted.
--- a/operate/cli/timeline.go
+++ b/operate/cli/timeline.go
@@ -62,7 +62,10 @@
 }
 
 // Explain is the subcommand that tells why a request or endpoint is treated as it is.
-type Explain struct{ asker }
+type Explain struct {
+	asker
+	logs string
+}
 
 // NewExplain returns the subcommand.
 func NewExplain(s Streams) *Explain { return &Explain{asker: asker{streams: s}} }
@@ -74,13 +77,23 @@
 func (*Explain) Synopsis() string { return "tell why a request or an endpoint is treated as it is" }
 
 // Usage implements subcommands.Command.
-func (*Explain) Usage() string { return "explain [flags] request|endpoint ID\n" }
+func (*Explain) Usage() string {
+	return "explain [flags] request|endpoint ID\n" +
+		"explain --logs FILE,... request ID\n" +
+		"  With logs no entry is asked; the files hold what the processes wrote, - is standard input.\n"
+}
 
 // SetFlags implements subcommands.Command.
-func (c *Explain) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+func (c *Explain) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.logs, "logs", "", usage("logs", "text", "", "Collected logs of processes, separated by commas."))
+}
 
 // Execute implements subcommands.Command.
 func (c *Explain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.logs != "" {
+		return c.fromLogs(f)
+	}
 	if !c.ready(f) {
 		return process.ExitUsage
 	}
--- /dev/null
+++ b/operate/logs/explain.go
@@ -0,0 +1,192 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Ending tells how a request ended, as far as the logs say.
+type Ending string
+
+const (
+	// Answered means that the client got a whole answer.
+	Answered Ending = "answered"
+	// NotRun means that the request was refused and has not run.
+	NotRun Ending = "refused"
+	// Unknown means that the request may have run.
+	Unknown Ending = "outcome unknown"
+	// Broken means that a stream ended before its last event.
+	Broken Ending = "stream broken off"
+	// Abandoned means that the client went away.
+	Abandoned Ending = "abandoned by the client"
+	// Missing means that the logs do not tell the end.
+	Missing Ending = "the end is not in the logs"
+)
+
+// Report explains one request.
+type Report struct {
+	Request string
+	Ending  Ending
+	// Cause tells in a sentence why it ended so.
+	Cause string
+	// Lines are those of the request.
+	Lines []Line
+	// Beliefs are the changes of what the entry believed and of what happened to
+	// the service's groups shortly before and during the request.
+	Beliefs []Line
+}
+
+// before is the time before a request whose events may explain it. Silence of a
+// host or a group is noticed within about a second.
+const before = 2 * time.Second
+
+// Explain looks up a request in sorted lines. It returns false if none names it.
+func Explain(lines []Line, request string) (Report, bool) {
+	r := Report{Request: request, Ending: Missing}
+	for _, l := range lines {
+		if l.Request == request {
+			r.Lines = append(r.Lines, l)
+		}
+	}
+	if len(r.Lines) == 0 {
+		return r, false
+	}
+	r.Ending, r.Cause = conclude(r.Lines)
+	r.Beliefs = r.beliefs(lines)
+	return r, true
+}
+
+// beliefs returns the lines that may explain the request.
+func (r *Report) beliefs(lines []Line) []Line {
+	first, last := r.Lines[0], r.Lines[len(r.Lines)-1]
+	began := last.Time.Add(-last.duration("after"))
+	if first.Time.Before(began) {
+		began = first.Time
+	}
+	var out []Line
+	for _, l := range lines {
+		if l.Request != "" || l.Time.Before(began.Add(-before)) || l.Time.After(last.Time) {
+			continue
+		}
+		aboutService := l.Service != "" && l.Service == last.Service
+		if l.Host == last.Host || aboutService {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func conclude(lines []Line) (Ending, string) {
+	last := lines[len(lines)-1]
+	switch last.Event {
+	case "request.answered":
+		return Answered, fmt.Sprintf("endpoint %s answered %.0f after %v; tries: %.0f", last.text("endpoint"), last.number("status"), last.duration("after"), last.number("sent"))
+	case "request.rejected":
+		return NotRun, fmt.Sprintf("answered %.0f before any service was chosen: %s (configuration %.0f)", last.number("status"), last.Message, last.number("config"))
+	case "request.refused":
+		if last.number("status") == badGateway {
+			return Unknown, "an earlier try may have run; then: " + refusal(lines)
+		}
+		return NotRun, refusal(lines)
+	case "request.failed":
+		return Unknown, fmt.Sprintf("sent to %s; then: %s", strings.Join(tried(lines), ", "), last.text("error"))
+	case "stream.broken":
+		return Broken, fmt.Sprintf("%.0f events were passed on, the last from %s; then: %s; it was not continued: %s",
+			last.number("events"), strings.Join(tried(lines), ", "), last.text("error"), orElse(last.Message, "no try was left"))
+	case "request.abandoned":
+		return Abandoned, fmt.Sprintf("the client closed the connection after %v; tries: %.0f", last.duration("after"), last.number("sent"))
+	}
+	return Missing, fmt.Sprintf("the last line is %s at %s", last.Event, last.Host)
+}
+
+// badGateway is the status of a refusal after a try that may have run.
+const badGateway = 502
+
+func refusal(lines []Line) string {
+	l := lines[len(lines)-1]
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s; ", l.Message)
+	for _, q := range lines {
+		if q.Event == "request.queued" {
+			fmt.Fprintf(&b, "when it was queued %.0f of %.0f places were taken; ", q.number("running"), q.number("places"))
+			break
+		}
+	}
+	fmt.Fprintf(&b, "it waited %v, then %.0f of %.0f places were taken and %.0f requests waited", l.duration("waited"), l.number("running"), l.number("places"), l.number("waiting"))
+	if down := l.duration("down_for"); down > 0 {
+		fmt.Fprintf(&b, "; its group had been down for %v", down)
+	}
+	fmt.Fprintf(&b, "; it was asked back after %v", l.duration("retry_after"))
+	return b.String()
+}
+
+// tried returns the endpoints that a request was sent to.
+func tried(lines []Line) []string {
+	var out []string
+	for _, l := range lines {
+		if l.Event == "request.chosen" && !slices.Contains(out, l.text("endpoint")) {
+			out = append(out, l.text("endpoint"))
+		}
+	}
+	return out
+}
+
+func orElse(text, other string) string {
+	if text == "" {
+		return other
+	}
+	return text
+}
+
+// Write prints the report.
+func (r *Report) Write(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s: %s\n  %s\n", r.Request, r.Ending, r.Cause)
+	fmt.Fprintln(&b, "lines of the request:")
+	writeLines(&b, r.Lines)
+	fmt.Fprintln(&b, "what its entry and its service went through:")
+	if len(r.Beliefs) == 0 {
+		fmt.Fprintln(&b, "  nothing changed")
+	}
+	writeLines(&b, r.Beliefs)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// writeLines prints lines. Of lines in a row with the same event of one host only
+// the first is printed.
+func writeLines(b *strings.Builder, lines []Line) {
+	for i := 0; i < len(lines); {
+		l, n := lines[i], 1
+		for i+n < len(lines) && lines[i+n].Event == l.Event && lines[i+n].Host == l.Host {
+			n++
+		}
+		l.write(b)
+		if n > 1 {
+			fmt.Fprintf(b, "    and %d more until %s\n", n-1, lines[i+n-1].Time.UTC().Format(timeOfDay))
+		}
+		i += n
+	}
+}
+
+const timeOfDay = "15:04:05.000"
+
+func (l Line) write(b *strings.Builder) {
+	fmt.Fprintf(b, "  %s %s %s", l.Time.UTC().Format(timeOfDay), l.Host, l.Event)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		v := l.Fields[name]
+		if n, ok := v.(float64); ok {
+			v = strconv.FormatFloat(n, 'f', -1, 64)
+		}
+		fmt.Fprintf(b, " %s=%v", name, v)
+	}
+	if l.Message != "" {
+		fmt.Fprintf(b, " (%s)", l.Message)
+	}
+	b.WriteByte('\n')
+}
