Leave groups alone whose places can't hold all experts

Cause: on a trial site with 24 ranks of 3 places and 144 experts, the ranks hold six experts each from the start. A fence names the map in use, which is more than an order may name, so that every rank answers 400. The machine of the change never left its recovery and repeated the order at each rank each 40 ms. Change: a group whose ranks times places are fewer than its experts gets no orders and one line, map.fixed. Before: 12,750 map.order_failed in 15 s, all from the holder of the lease. Test: TestGroupWithTooFewPlacesIsLeftAlone, which failed before.

--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -56,7 +56,7 @@
 }
 
 func newGroup(s *session, name id.Group, size int) *group {
-	return &group{
+	g := &group{
 		name: name, size: size, cfg: s.cfg, experts: s.engine.Experts, slots: s.engine.Slots,
 		log:     s.log,
 		machine: mapswitch.New(mapswitch.Config{Ranks: size}, s.lease),
@@ -66,6 +66,11 @@
 		ranks:    make([]member, size),
 		followed: s.set.GetOrCreateHistogram(fmt.Sprintf("siskinford_map_follows_seconds{group=%q}", string(name))),
 	}
+	if !g.fits() {
+		g.log.Warn().Str("event", "map.fixed").Int("ranks", size).Int("places", g.experts.Places).Int("experts", g.experts.PerSet).
+			Msg("the ranks have fewer places than experts; the initial map stays")
+	}
+	return g
 }
 
 func (g *group) onState(l *ranklink.Link, s *relay.State, now time.Duration) {
@@ -157,8 +162,18 @@
 	}
 }
 
+// fits reports whether the places of all ranks can hold every expert. If not, the
+// ranks hold more experts from the start than an order may name, and accept none.
+func (g *group) fits() bool { return g.size*g.experts.Places >= g.experts.PerSet }
+
+// busy reports whether the machine waits for answers or for a step.
+func (g *group) busy() bool { return g.fits() && g.machine.Phase() != mapswitch.Idle }
+
 // advance plans if that is possible and returns the orders to send.
 func (g *group) advance(now time.Duration) []mapswitch.Order {
+	if !g.fits() {
+		return nil
+	}
 	orders := g.machine.Tick(now)
 	if g.machine.Phase() == mapswitch.Idle && g.plan(now) {
 		orders = append(orders, g.machine.Tick(now)...)
--- /dev/null
+++ b/entry/expertmaps/group_test.go
@@ -0,0 +1,57 @@
+package expertmaps
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/balance/mapswitch"
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/ranklink"
+	"github.com/siskinford/siskinford/entry/routes"
+	"github.com/siskinford/siskinford/wire/relay"
+)
+
+// openGroup returns a group with the initial map, all of whose ranks were seen.
+func openGroup(t *testing.T, ranks, places, experts int) *group {
+	t.Helper()
+	s := &session{
+		cfg: Config{}.withDefaults(), engine: &routes.Engine{Slots: 4, Experts: &routes.Experts{Sets: 1, PerSet: experts, Places: places, MaxNew: 1}},
+		lease: 7, log: zerolog.Nop(), set: metrics.NewSet(), layouts: make(map[*ranklink.Link]relay.Layout),
+	}
+	g := newGroup(s, "g", ranks)
+	content := make([][]int, ranks)
+	for e := range experts {
+		content[e%ranks] = append(content[e%ranks], e)
+	}
+	for r := range ranks {
+		l := &ranklink.Link{}
+		g.onState(l, &relay.State{Group: id.Group("g"), Size: ranks, Rank: r, Epoch: 1, Open: true, Step: 1}, 0)
+		s.layouts[l] = relay.Layout{Epoch: 1, Experts: [][]int{content[r]}}
+	}
+	g.learn(s.layouts)
+	return g
+}
+
+// TestGroupWithTooFewPlacesIsLeftAlone: ranks that hold more experts than an order may
+// name refuse every order, so none may be repeated at them for ever.
+func TestGroupWithTooFewPlacesIsLeftAlone(t *testing.T) {
+	g := openGroup(t, 4, 3, 16)
+	for now := time.Duration(0); now < time.Second; now += tickInterval {
+		assert.Equal(t, len(g.advance(now)), 0)
+	}
+	assert.Assert(t, !g.busy())
+}
+
+func TestGroupWithPlacesIsTakenOver(t *testing.T) {
+	g := openGroup(t, 4, 4, 16)
+	orders := g.advance(tickInterval)
+	assert.Equal(t, len(orders), 4)
+	for _, o := range orders {
+		assert.Equal(t, o.Op, mapswitch.Prepare)
+	}
+	assert.Assert(t, g.busy())
+}
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -188,7 +188,7 @@
 		for _, o := range g.advance(now) {
 			s.send(g, o, now)
 		}
-		busy = busy || g.machine.Phase() != mapswitch.Idle
+		busy = busy || g.busy()
 	}
 	return busy
 }
