One silent stream makes a rank the last choice

Cause: a rank that is mute, or whose host is frozen, looks idle to an entry, as nothing that runs there ends. A stream there falls silent after 0.7 to 1.2 s and goes on elsewhere, but counted as one failure of the 2.5 that make an outlier, so that each entry sent it several more. Change: a silent try weighs as much as the least failures of an outlier (outlier.Detector.Hung). The bound on suspect endpoints holds on. Test: TestHungRankGetsNoNewStreams, TestHungRank; the first failed before.

--- a/balance/outlier/outlier.go
+++ b/balance/outlier/outlier.go
@@ -66,17 +66,37 @@
 // Record takes in the outcome of a request and returns the time until which the
 // endpoint is suspect, zero if it is not.
 func (d *Detector) Record(name id.Endpoint, ok bool, now time.Duration) time.Duration {
+	r := d.recall(name, now)
+	if ok {
+		r.ok++
+		return r.until
+	}
+	r.failed++
+	return d.judge(name, r, now)
+}
+
+// Hung takes in a request that the endpoint left without a word while others of
+// the service were served. It weighs as much as the least failures of an outlier:
+// each further request would wait as long. It returns what Record does.
+func (d *Detector) Hung(name id.Endpoint, now time.Duration) time.Duration {
+	r := d.recall(name, now)
+	r.failed += d.cfg.MinFailures
+	return d.judge(name, r, now)
+}
+
+// recall returns what is still remembered of an endpoint.
+func (d *Detector) recall(name id.Endpoint, now time.Duration) *record {
 	r := d.endpoints[name]
 	if r == nil {
 		r = &record{updated: now, next: d.cfg.Suspect}
 		d.endpoints[name] = r
 	}
 	d.decay(r, now)
-	if ok {
-		r.ok++
-		return r.until
-	}
-	r.failed++
+	return r
+}
+
+// judge makes an endpoint suspect after a failure if it is an outlier.
+func (d *Detector) judge(name id.Endpoint, r *record, now time.Duration) time.Duration {
 	if r.until <= now && d.outlier(name, r, now) && d.mayAdd(now) {
 		r.until = now + r.next
 		r.next = min(2*r.next, d.cfg.MaxSuspect)
--- a/balance/outlier/outlier_test.go
+++ b/balance/outlier/outlier_test.go
@@ -76,6 +76,23 @@
 	assert.Assert(t, d.Record("bad", true, now) <= now)
 }
 
+// TestHungRank: one request without a word is enough if others are served, not if
+// all endpoints are silent.
+func TestHungRank(t *testing.T) {
+	d := New(Config{})
+	for range 3 {
+		for _, e := range []id.Endpoint{"a", "b", "c"} {
+			d.Record(e, true, 0)
+		}
+	}
+	now := 2 * time.Second
+	d.Record("b", true, now)
+	assert.Assert(t, d.Hung("a", now) > now)
+	now += time.Millisecond
+	assert.Assert(t, d.Hung("b", now) <= now, "a third of the endpoints at most is suspect")
+	assert.Assert(t, d.Record("a", true, now+2*time.Second) <= now+2*time.Second)
+}
+
 func TestForget(t *testing.T) {
 	d := New(Config{})
 	d.Record("a", false, 0)
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -179,6 +179,8 @@
 	Good
 	// Bad tries failed by the endpoint's fault.
 	Bad
+	// Hung tries got no word for too long while other endpoints answered.
+	Hung
 )
 
 // First records the first event of a stream, or the answer.
@@ -205,15 +207,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.intake.Ended(x.Backend.Name, x.request, x.answered, s.now()-x.started)
-	if o != Neutral {
-		now := s.now()
-		if until := s.detector.Record(x.Backend.Name, o == Good, now); until > now {
-			s.intake.Suspect(x.Backend.Name, until)
-		}
+	now := s.now()
+	if until := s.judge(x.Backend.Name, o, now); until > now {
+		s.intake.Suspect(x.Backend.Name, until)
 	}
 	s.pump()
 }
 
+// judge returns the time until which an endpoint is suspect after a try. The
+// caller holds mu.
+func (s *Service) judge(name id.Endpoint, o Outcome, now time.Duration) time.Duration {
+	switch o {
+	case Good, Bad:
+		return s.detector.Record(name, o == Good, now)
+	case Hung:
+		return s.detector.Hung(name, now)
+	}
+	return 0
+}
+
 // Replaced takes an endpoint out of use whose address another instance has.
 func (s *Service) Replaced(name id.Endpoint) {
 	s.mu.Lock()
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -143,7 +143,7 @@
 	case ctx.Err() != nil:
 		err = context.Cause(ctx)
 		if errors.Is(err, errSilent) {
-			outcome = Bad
+			outcome = Hung
 		}
 	default:
 		outcome = Bad
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/balance/retry"
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/entry/routes"
 )
 
@@ -70,26 +71,36 @@
 	}
 }
 
+// silent sends two events and then nothing more.
+func silent(_ int, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Signed", "yes")
+	w.Header().Set("Request", r.Header.Get("Request"))
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = w.Write([]byte(wantEvents(1, 2)))
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
+// startAt runs a stream at one of two endpoints, and makes the other one the next
+// choice.
+func startAt(e *entry, this, other id.Endpoint) <-chan reply {
+	s := e.handler.Service("s")
+	s.Unreachable(other)
+	out := make(chan reply, 1)
+	go func() { out <- e.send(http.MethodPost) }()
+	time.Sleep(100 * time.Millisecond)
+	s.Unreachable(this)
+	s.mu.Lock()
+	s.intake.Suspect(other, 0)
+	s.mu.Unlock()
+	return out
+}
+
 // TestSilentStreamGoesOnElsewhere names the pattern "a rank hangs while others go on".
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
-	silent := func(_ int, w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Signed", "yes")
-		w.Header().Set("Request", r.Header.Get("Request"))
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = w.Write([]byte(wantEvents(1, 2)))
-		_ = http.NewResponseController(w).Flush()
-		<-r.Context().Done()
-	}
 	a, b := newBackend(t, "a", silent), newBackend(t, "b", events(9, 0, 100*time.Millisecond))
 	e := newEntry(t, stream, a, b)
-	e.handler.Service("s").Unreachable("a")
-	other := make(chan reply, 1)
-	go func() { other <- e.send(http.MethodPost) }() // Runs at b, whose events go on.
-	time.Sleep(100 * time.Millisecond)
-	e.handler.Service("s").Unreachable("b")
-	e.handler.Service("s").mu.Lock()
-	e.handler.Service("s").intake.Suspect("a", 0)
-	e.handler.Service("s").mu.Unlock()
+	other := startAt(e, "b", "a") // Its events go on.
 	got := e.send(http.MethodPost)
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, wantEvents(1, 9))
@@ -97,6 +108,19 @@
 	assert.Equal(t, (<-other).body, wantEvents(1, 9))
 }
 
+// TestHungRankGetsNoNewStreams: a rank whose host is frozen looks idle, as nothing
+// that runs there ends. One silent stream is enough to prefer a busier rank.
+func TestHungRankGetsNoNewStreams(t *testing.T) {
+	a, b := newBackend(t, "a", silent), newBackend(t, "b", events(9, 0, 100*time.Millisecond))
+	e := newEntry(t, stream, a, b)
+	other := startAt(e, "b", "a")
+	assert.NilError(t, e.send(http.MethodPost).err)
+	<-other
+	assert.Equal(t, len(a.requests()), 1)
+	e.sendTogether(2)
+	assert.Equal(t, len(a.requests()), 1, "the silent rank got another stream")
+}
+
 func TestClientThatLeavesFreesTheEndpoint(t *testing.T) {
 	left := make(chan struct{})
 	a := newBackend(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
--- a/entry/direct/whole.go
+++ b/entry/direct/whole.go
@@ -110,6 +110,9 @@
 
 // blame tells what a failed exchange says of the endpoint.
 func blame(err error) Outcome {
+	if errors.Is(err, errSilent) || errors.Is(err, errSlowTry) {
+		return Hung
+	}
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return Neutral
 	}
