A host that stalls while it passes a hold on no longer stops its group

Change: the hold is passed on by the relay of another rank, and that relay has to answer a ping, which reaches no rank, before its own rank is armed. A rank that was never asked to be armed needs no fence, so the change is undone without it.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -37,13 +37,23 @@
 // Server serves entries. Use New.
 type Server struct {
 	engine relay.Engine
+	// other returns a client for another rank.
+	other func(address string) relay.Engine
 	// Report is told of what an operator should see. It must not block.
 	Report func(event string, err error)
+
+	mu     sync.Mutex // leaf lock
+	others map[string]relay.Engine
 }
 
-// New returns a server for an engine.
-func New(e relay.Engine, report func(event string, err error)) *Server {
-	return &Server{engine: e, Report: report}
+// maxOthers bounds the clients that are kept for other ranks. Few are in use: each
+// lease has one rank that holds steps.
+const maxOthers = 8
+
+// New returns a server for an engine. Other returns a client for another rank, at which
+// orders are carried out that name its address.
+func New(e relay.Engine, other func(address string) relay.Engine, report func(event string, err error)) *Server {
+	return &Server{engine: e, other: other, others: make(map[string]relay.Engine), Report: report}
 }
 
 // Listen accepts connections at an address until ctx ends.
@@ -115,11 +125,36 @@
 func (x *session) order(ctx context.Context, o relay.Order) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r := x.server.engine.Order(ctx, o)
+	r := x.server.carryOut(ctx, o)
 	r.ID = o.ID
 	x.send(relay.FromRelay{Result: &r})
 }
 
+func (s *Server) carryOut(ctx context.Context, o relay.Order) relay.Result {
+	switch {
+	case o.Op == relay.Ping:
+		return relay.Result{Outcome: relay.Done}
+	case o.Address != "":
+		return s.at(o.Address).Order(ctx, o)
+	}
+	return s.engine.Order(ctx, o)
+}
+
+// at returns the client for another rank.
+func (s *Server) at(address string) relay.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.others[address]; e != nil {
+		return e
+	}
+	if len(s.others) >= maxOthers {
+		clear(s.others)
+	}
+	e := s.other(address)
+	s.others[address] = e
+	return e
+}
+
 // send writes one line. A connection that cannot be written to is closed.
 func (x *session) send(m relay.FromRelay) {
 	line, err := json.Marshal(m)
--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/wire/relay"
 )
 
@@ -22,6 +23,8 @@
 	counts relay.Counts
 	err    error
 	orders []relay.Order
+	// other is the rank at any other address.
+	other *engine
 	// counted is the number of times that the counts were asked for.
 	counted int
 }
@@ -85,7 +88,9 @@
 	assert.NilError(t, free.Close())
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() { ended <- New(e, func(string, error) {}).Listen(ctx, address) }()
+	go func() {
+		ended <- New(e, func(string) relay.Engine { return e.other }, func(string, error) {}).Listen(ctx, address)
+	}()
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-ended)
@@ -183,6 +188,22 @@
 	e.set(func() { assert.Equal(t, e.orders[0].Step, uint64(12)) })
 }
 
+// TestOrderForAnotherRank: it is carried out there, and a ping reaches no rank at all.
+func TestOrderForAnotherRank(t *testing.T) {
+	e := &engine{other: &engine{}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Order: &relay.Order{ID: 1, Op: relay.Hold, Endpoint: "b", Address: "127.0.0.1:1", Step: 12}})
+	x.next("result", func(m relay.FromRelay) bool { return m.Result != nil && m.Result.Outcome == relay.Done })
+	x.send(relay.ToRelay{Order: &relay.Order{ID: 2, Op: relay.Ping}})
+	r := x.next("result", func(m relay.FromRelay) bool { return m.Result != nil }).Result
+	assert.DeepEqual(t, *r, relay.Result{ID: 2, Outcome: relay.Done})
+	e.set(func() { assert.Equal(t, len(e.orders), 0) })
+	e.other.set(func() {
+		assert.Equal(t, len(e.other.orders), 1)
+		assert.Equal(t, e.other.orders[0].Endpoint, id.Endpoint("b"))
+	})
+}
+
 func TestUnreachableRankIsToldOnce(t *testing.T) {
 	e := &engine{err: errors.New("connection refused")}
 	x := connect(t, e)
--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -100,7 +100,16 @@
 		m.abandon(now, "no step could be held")
 		return nil
 	}
-	return m.ask(Order{Rank: m.holder, Op: Hold, Step: m.step}, now)
+	via := (m.via + 1) % len(m.ranks)
+	if via == m.holder {
+		via = (via + 1) % len(m.ranks)
+	}
+	out := m.askVia(Order{Rank: m.holder, Via: via, Op: Hold, Step: m.step}, now)
+	if len(out) > 0 {
+		m.via = via
+		m.ranks[via].doubted = true
+	}
+	return out
 }
 
 func (m *Machine) onHold(o Order, got Outcome, now time.Duration) {
@@ -129,7 +138,16 @@
 	}
 	var out []Order
 	for i := range m.ranks {
-		if !m.ranks[i].armed {
+		k := &m.ranks[i]
+		switch {
+		case k.armed:
+		case k.doubted && now-m.heldAt > m.cfg.PingLimit:
+			m.enter(Deciding, now, "the relay that passed the hold on is silent")
+			return out
+		case k.doubted:
+			out = append(out, m.ask(Order{Rank: i, Op: Ping}, now)...)
+		default:
+			k.asked = true
 			out = append(out, m.ask(Order{Rank: i, Op: Arm, Version: m.version, Step: m.step}, now)...)
 		}
 	}
@@ -158,9 +176,9 @@
 	return true
 }
 
-// decide fences the ranks that were not seen armed. The first fence that takes
-// means that the change can be undone; a rank that refuses it and reports that
-// it is armed counts as armed.
+// decide fences the ranks that were not seen armed. The first fence that takes, or a
+// rank that was not asked, means that the change can be undone; a rank that refuses
+// the fence and reports that it is armed counts as armed.
 func (m *Machine) decide(now time.Duration) []Order {
 	if m.allArmed() {
 		m.permit()
@@ -168,7 +186,7 @@
 		return nil
 	}
 	for i := range m.ranks {
-		if m.fenced(i) {
+		if m.unarmed(i) {
 			m.enter(Undoing, now, "a rank was never armed")
 			return nil
 		}
@@ -182,6 +200,12 @@
 	return out
 }
 
+// unarmed reports whether the version of the change cannot be armed at a rank, now or
+// later. Only this lease's orders name the version.
+func (m *Machine) unarmed(i int) bool {
+	return m.fenced(i) || m.version != 0 && m.target != nil && !m.ranks[i].asked && m.ranks[i].report.Armed == 0
+}
+
 // fenced reports whether a rank took a fence that counts against the versions
 // which are or may be armed. A fence of a lower version tells nothing: the rank
 // may have been armed after it.
@@ -212,7 +236,7 @@
 	fenced := true
 	for i := range m.ranks {
 		k := &m.ranks[i]
-		if m.fenced(i) {
+		if m.unarmed(i) {
 			continue
 		}
 		fenced = false
@@ -240,10 +264,10 @@
 	return out
 }
 
-// mayDisarm reports whether a rank took a fence against a version.
+// mayDisarm reports whether a version cannot be armed at some rank.
 func (m *Machine) mayDisarm(version uint64) bool {
 	for i := range m.ranks {
-		if m.ranks[i].fence > version {
+		if m.ranks[i].fence > version || version == m.version && m.unarmed(i) {
 			return true
 		}
 	}
--- a/balance/mapswitch/explore_test.go
+++ b/balance/mapswitch/explore_test.go
@@ -94,6 +94,11 @@
 				}
 			}
 		}},
+		{"ranks that were asked to be armed need no fence", func(m *Machine) {
+			for i := range m.ranks {
+				m.ranks[i].asked = false
+			}
+		}},
 		{"holds are taken for granted", func(m *Machine) {
 			if m.phase == Holding {
 				m.enter(Arming, 0, "mutant")
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -30,6 +30,8 @@
 	lastDecided uint64
 	heldAt      time.Duration
 	holdTries   int
+	// via is the rank whose relay passed the last hold on.
+	via int
 
 	// current is the content of the maps in use, by version.
 	current map[uint64]Map
@@ -55,6 +57,10 @@
 
 	// prepared is true once the rank accepted the change's map.
 	prepared bool
+	// doubted is true from when the rank's relay passed a hold on until it answers again.
+	doubted bool
+	// asked is true once the rank was asked to be armed.
+	asked bool
 	// armed is true once the rank was seen armed with the version of the change.
 	armed bool
 	// disarmed is true once the rank answered the last Disarm.
@@ -182,7 +188,7 @@
 		return false
 	}
 	m.version, m.target, m.step, m.holdTries = m.newVersion(), target, 0, 0
-	m.holder = m.own
+	m.holder, m.via = m.own, m.own
 	m.clearProgress()
 	m.enter(Preparing, now, "a map was proposed")
 	return true
@@ -201,6 +207,7 @@
 	for i := range m.ranks {
 		k := &m.ranks[i]
 		k.prepared, k.armed, k.disarmed, k.fence, k.conflict = false, false, false, 0, false
+		k.doubted, k.asked = false, false
 	}
 }
 
@@ -227,6 +234,8 @@
 		m.onHold(p.Order, o, now)
 	case Release:
 		m.onRelease(p.Order, now)
+	case Ping:
+		k.doubted = k.doubted && o != Done
 	}
 }
 
@@ -267,8 +276,14 @@
 	return nil
 }
 
-// ask returns an order, unless the same one was sent lately and not answered.
+// ask returns an order that the rank's own relay passes on, unless the same one was
+// sent lately and not answered.
 func (m *Machine) ask(o Order, now time.Duration) []Order {
+	o.Via = o.Rank
+	return m.askVia(o, now)
+}
+
+func (m *Machine) askVia(o Order, now time.Duration) []Order {
 	for id, p := range m.pending {
 		if p.Rank != o.Rank || p.Op != o.Op {
 			continue
--- a/balance/mapswitch/model_test.go
+++ b/balance/mapswitch/model_test.go
@@ -136,6 +136,8 @@
 	faults bool
 	// harm is the part of the orders, of 16, that something happens to.
 	harm int
+	// pingLimit varies, so that changes are undone for a silent relay in some worlds.
+	pingLimit time.Duration
 
 	switches, undone int
 
@@ -147,14 +149,14 @@
 func newWorld(seed uint64, ranks int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), engine: newEngine(ranks), faults: true,
-		harm: int(seed % 9), trace: func(string, ...any) {}, mutate: func(*Machine) {},
+		harm: int(seed % 9), pingLimit: time.Duration(1+seed%4) * 100 * time.Millisecond, trace: func(string, ...any) {}, mutate: func(*Machine) {},
 	}
 	w.addCoordinator()
 	return w
 }
 
 func (w *world) addCoordinator() {
-	w.coords = append(w.coords, New(Config{Ranks: len(w.engine.ranks)}, uint64(len(w.coords)+1)))
+	w.coords = append(w.coords, New(Config{Ranks: len(w.engine.ranks), PingLimit: w.pingLimit}, uint64(len(w.coords)+1)))
 	w.paused = append(w.paused, false)
 }
 
--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -18,6 +18,11 @@
 // all ranks that were seen armed still are. Any coordinator can therefore finish
 // what another one began, at any time.
 //
+// A host is most likely to stall while it works on an order, and then its rank
+// can't be asked. So the hold is passed on by another rank's relay, which has to
+// answer once more before its own rank is armed: a rank that was never asked to be
+// armed needs no fence, and the change is undone without it.
+//
 // Holds do not tell whose they are. Each lease therefore has its own rank, and in
 // small groups its own residue of steps, at which it holds; it never holds a step
 // again that it may have released.
@@ -46,18 +51,22 @@
 	Hold
 	// Release ends a Hold.
 	Release
+	// Ping changes nothing. Its result shows that the rank's relay answers.
+	Ping
 )
 
 // String returns the operation's name for logs.
 func (o Op) String() string {
-	return [...]string{"none", "prepare", "arm", "disarm", "hold", "release"}[o]
+	return [...]string{"none", "prepare", "arm", "disarm", "hold", "release", "ping"}[o]
 }
 
 // Order asks a rank for a change.
 type Order struct {
 	// ID identifies the order in its Result.
-	ID    uint64
-	Rank  int
+	ID   uint64
+	Rank int
+	// Via is the rank whose relay passes the order on.
+	Via   int
 	Op    Op
 	Epoch uint64
 	// Version is set for Prepare, Arm and Disarm.
@@ -115,6 +124,9 @@
 	// HoldLimit is the time for which a step is held before a change is undone.
 	// Default: 400 ms, about five times a pass.
 	HoldLimit time.Duration
+	// PingLimit is the time after the hold in which the relay that passed it on must
+	// answer. Default: 80 ms, twice Resend.
+	PingLimit time.Duration
 }
 
 const (
@@ -122,6 +134,7 @@
 	defaultResend       = 40 * time.Millisecond
 	defaultPrepareLimit = 3 * time.Second
 	defaultHoldLimit    = 400 * time.Millisecond
+	defaultPingLimit    = 80 * time.Millisecond
 	// versionBits is the part of a version that counts within a lease.
 	versionBits = 20
 	// maxHoldTries bounds the steps that a change tries to hold.
@@ -144,6 +157,9 @@
 	if c.HoldLimit == 0 {
 		c.HoldLimit = defaultHoldLimit
 	}
+	if c.PingLimit == 0 {
+		c.PingLimit = defaultPingLimit
+	}
 	return c
 }
 
--- a/cmd/siskinford-relay/main.go
+++ b/cmd/siskinford-relay/main.go
@@ -15,6 +15,7 @@
 	"github.com/siskinford/siskinford/agent/relay"
 	"github.com/siskinford/siskinford/platform/replica"
 	"github.com/siskinford/siskinford/platform/settings"
+	wire "github.com/siskinford/siskinford/wire/relay"
 )
 
 const (
@@ -38,7 +39,8 @@
 	signal.Ignore(syscall.SIGHUP) // The settings that matter do not change while the process runs.
 	address := netip.AddrPortFrom(s.IP, s.Internal[0]).String()
 	log.Info().Str("event", "process.started").Str("address", address).Str("engine", s.Replica).Msg("relay started")
-	server := relay.New(replica.New(s.Replica), func(event string, err error) {
+	other := func(address string) wire.Engine { return replica.New(address) }
+	server := relay.New(replica.New(s.Replica), other, func(event string, err error) {
 		log.Info().Err(err).Str("event", event).Send()
 	})
 	if err := server.Listen(ctx, address); err != nil {
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -195,7 +195,7 @@
 
 var ops = map[mapswitch.Op]relay.Op{
 	mapswitch.Prepare: relay.Prepare, mapswitch.Arm: relay.Arm, mapswitch.Disarm: relay.Disarm,
-	mapswitch.Hold: relay.Hold, mapswitch.Release: relay.Release,
+	mapswitch.Hold: relay.Hold, mapswitch.Release: relay.Release, mapswitch.Ping: relay.Ping,
 }
 
 func (s *session) send(g *group, o mapswitch.Order, now time.Duration) {
@@ -205,7 +205,12 @@
 	}
 	s.nextOrder++
 	s.asked[s.nextOrder] = asked{group: g, id: o.ID, sent: now}
-	l.Send(relay.Order{
+	order := relay.Order{
 		ID: s.nextOrder, Op: ops[o.Op], Epoch: o.Epoch, Version: o.Version, Step: o.Step, Experts: o.Map, Fence: s.lease,
-	})
+	}
+	if via := g.ranks[o.Via].link; via != nil && via != l {
+		via.SendTo(l.Endpoint(), order)
+		return
+	}
+	l.Send(order)
 }
--- a/entry/ranklink/link.go
+++ b/entry/ranklink/link.go
@@ -114,10 +114,20 @@
 // Close ends the link. It does not wait.
 func (l *Link) Close() { l.cancel() }
 
-// Send queues an order. An order that finds no place is dropped and sent again
-// by its owner.
+// Send queues an order for the rank. An order that finds no place is dropped and
+// sent again by its owner.
 func (l *Link) Send(o relay.Order) {
 	o.Endpoint = l.opt.Endpoint.Name
+	l.queue(o)
+}
+
+// SendTo queues an order for another rank, which the relay of this one passes on.
+func (l *Link) SendTo(rank Endpoint, o relay.Order) {
+	o.Endpoint, o.Address = rank.Name, rank.Address
+	l.queue(o)
+}
+
+func (l *Link) queue(o relay.Order) {
 	select {
 	case l.orders <- o:
 	default:
@@ -266,11 +276,27 @@
 func (l *Link) orderDirect(ctx context.Context, engine relay.Engine, o relay.Order) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 	defer cancel()
-	r := engine.Order(ctx, o)
+	var r relay.Result
+	switch {
+	case o.Op == relay.Ping:
+		r = reach(ctx, engine)
+	case o.Address != "":
+		r = l.opt.Direct(o.Address).Order(ctx, o)
+	default:
+		r = engine.Order(ctx, o)
+	}
 	r.ID = o.ID
 	l.emit(ctx, Event{Result: &r})
 }
 
+// reach answers a ping in the place of a relay: the rank itself has to answer.
+func reach(ctx context.Context, engine relay.Engine) relay.Result {
+	if _, err := engine.State(ctx); err != nil {
+		return relay.Result{Outcome: relay.Unknown, Detail: err.Error()}
+	}
+	return relay.Result{Outcome: relay.Done}
+}
+
 func (l *Link) lookDirect(ctx context.Context, engine relay.Engine, layout *relay.Layout) {
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
--- a/itest/maps/coordinator_test.go
+++ b/itest/maps/coordinator_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,7 +60,7 @@
 		address := l.Addr().String()
 		assert.NilError(t, l.Close())
 		go func() {
-			if err := agent.New(s.group.Engine(i), func(string, error) {}).Listen(t.Context(), address); err != nil {
+			if err := agent.New(s.group.Engine(i), s.engineAt, func(string, error) {}).Listen(t.Context(), address); err != nil {
 				t.Error(err)
 			}
 		}()
@@ -69,6 +70,11 @@
 	return s
 }
 
+// engineAt returns the rank at an address.
+func (s *site) engineAt(address string) relay.Engine {
+	return s.group.Engine(slices.IndexFunc(s.endpoints, func(e ranklink.Endpoint) bool { return e.Address == address }))
+}
+
 // load keeps some streams at a rank.
 func (s *site) load(rank int) {
 	const streams, events = 4, 12
--- a/wire/relay/messages.go
+++ b/wire/relay/messages.go
@@ -101,6 +101,8 @@
 	Hold Op = "hold"
 	// Release ends a Hold.
 	Release Op = "release"
+	// Ping is answered by the relay itself and does not reach the rank.
+	Ping Op = "ping"
 )
 
 // Order asks a rank for a change. Each order is answered by a Result with its ID,
@@ -109,8 +111,10 @@
 	ID uint64 `json:"id"`
 	// Endpoint is the only one that may carry the order out.
 	Endpoint id.Endpoint `json:"endpoint"`
-	Op       Op          `json:"op"`
-	Epoch    uint64      `json:"epoch"`
+	// Address is the "ip:port" of the endpoint if it is not the one beside the relay.
+	Address string `json:"address,omitempty"`
+	Op      Op     `json:"op"`
+	Epoch   uint64 `json:"epoch"`
 	// Version is the map that Prepare, Arm and Disarm name.
 	Version uint64 `json:"version,omitempty"`
 	// Step is the pass that Arm, Hold and Release name.
