An answer of the relay that passed a hold on counts from 20 ms after it

Ruled out: another rank's order in doubt; the log names only the relay that passed the hold on. Change: the ping is sent 20 ms after the hold. Passes take 60 ms and more, so the held step is still ahead then. Test: TestHostStallsAsItPassesAHoldOn with stalls 5 and 10 ms after the hold (failed before).

--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -144,6 +144,7 @@
 		case k.doubted && now-m.heldAt > m.cfg.PingLimit:
 			m.enter(Deciding, now, "the relay that passed the hold on is silent")
 			return out
+		case k.doubted && now-m.heldAt < m.cfg.PingDelay:
 		case k.doubted:
 			out = append(out, m.ask(Order{Rank: i, Op: Ping}, now)...)
 		default:
--- a/balance/mapswitch/stall_test.go
+++ b/balance/mapswitch/stall_test.go
@@ -7,32 +7,37 @@
 	"gotest.tools/v3/assert"
 )
 
-// stalled is a world in which the host of a rank stalls as soon as its relay has
-// passed a hold on: orders through it, and reports of its rank, are lost from then on.
+// stalled is a world in which the host of a rank stalls after its relay has passed a
+// hold on: orders through it, and reports of its rank, are lost from then on.
 type stalled struct {
 	*world
+	// host is the rank beside the host, and at the time from which on it stalls.
 	host int
-	// answered tells whether the result of the hold still gets out.
-	answered bool
+	at   time.Duration
+	// after is the time between the hold and the stall. A negative one means that
+	// the result of the hold does not get out.
+	after time.Duration
 }
 
-func newStalled(ranks int, answered bool) *stalled {
+func newStalled(ranks int, after time.Duration) *stalled {
 	w := newWorld(0, ranks)
 	w.faults = false
-	return &stalled{world: w, host: -1, answered: answered}
+	return &stalled{world: w, host: -1, after: after}
 }
 
+func (s *stalled) gone(rank int) bool { return rank == s.host && s.now >= s.at }
+
 // exchange delivers orders and results at once, except through the stalled host.
 func (s *stalled) exchange(orders []Order) {
 	m := s.coords[0]
 	for _, o := range orders {
-		if o.Via == s.host {
+		if s.gone(o.Via) {
 			continue
 		}
 		out := s.engine.apply(o)
 		if o.Op == Hold && s.host < 0 {
-			s.host = o.Via
-			if !s.answered {
+			s.host, s.at = o.Via, s.now+max(s.after, 0)
+			if s.after < 0 {
 				continue
 			}
 		}
@@ -42,7 +47,7 @@
 
 func (s *stalled) reports() {
 	for i := range s.engine.ranks {
-		if i != s.host {
+		if !s.gone(i) {
 			s.coords[0].Report(s.engine.report(i), s.now)
 		}
 		s.coords[0].Learn(s.engine.epoch, s.engine.ranks[i].version, mapWith(s.engine.ranks[i].content))
@@ -52,8 +57,8 @@
 // TestHostStallsAsItPassesAHoldOn: the group must not stand until a host wakes that
 // stalls while it works on an order.
 func TestHostStallsAsItPassesAHoldOn(t *testing.T) {
-	for _, answered := range []bool{true, false} {
-		s := newStalled(4, answered)
+	for _, after := range []time.Duration{-1, 0, 5 * time.Millisecond, 10 * time.Millisecond} {
+		s := newStalled(4, after)
 		m := s.coords[0]
 		var heldSince time.Duration
 		for range 400 {
--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -20,7 +20,7 @@
 //
 // A host is most likely to stall while it works on an order, and then its rank
 // can't be asked. So the hold is passed on by another rank's relay, which has to
-// answer once more before its own rank is armed: a rank that was never asked to be
+// answer once more, a little later, before its own rank is armed: a rank that was never asked to be
 // armed needs no fence, and the change is undone without it.
 //
 // Holds do not tell whose they are. Each lease therefore has its own rank, and in
@@ -124,8 +124,12 @@
 	// HoldLimit is the time for which a step is held before a change is undone.
 	// Default: 400 ms, about five times a pass.
 	HoldLimit time.Duration
-	// PingLimit is the time after the hold in which the relay that passed it on must
-	// answer. Default: 80 ms, twice Resend.
+	// PingDelay is the time after the hold from which on an answer of the relay that
+	// passed it on counts. Default: 20 ms; a host that stalls over an order does so
+	// within a few milliseconds of it.
+	PingDelay time.Duration
+	// PingLimit is the time after the hold in which that relay must answer. Default:
+	// 100 ms, PingDelay and twice Resend.
 	PingLimit time.Duration
 }
 
@@ -134,7 +138,8 @@
 	defaultResend       = 40 * time.Millisecond
 	defaultPrepareLimit = 3 * time.Second
 	defaultHoldLimit    = 400 * time.Millisecond
-	defaultPingLimit    = 80 * time.Millisecond
+	defaultPingDelay    = 20 * time.Millisecond
+	defaultPingLimit    = 100 * time.Millisecond
 	// versionBits is the part of a version that counts within a lease.
 	versionBits = 20
 	// maxHoldTries bounds the steps that a change tries to hold.
@@ -157,6 +162,9 @@
 	if c.HoldLimit == 0 {
 		c.HoldLimit = defaultHoldLimit
 	}
+	if c.PingDelay == 0 {
+		c.PingDelay = defaultPingDelay
+	}
 	if c.PingLimit == 0 {
 		c.PingLimit = defaultPingLimit
 	}
