Help of check names no deployment

Cause: the example named a zone of the users' site, which no code may. Change: zone-a. Ruled out: a test that reads the text (none does).

--- a/cmd/siskinford/check.go
+++ b/cmd/siskinford/check.go
@@ -41,7 +41,7 @@
 func (*check) Usage() string {
 	return `check [--services FILE] [--teams FILE] [--endpoints FILE] [--script FILE] [entry|agent|platform [SETTINGS]]
 check [--deploy FILE] [--platform-settings FILE] [--platform-config FILE] [platform [SETTINGS]]
-  check entry --host=entry-0 --zone=lima-a validates the settings of siskinford-entry from
+  check entry --host=entry-0 --zone=zone-a validates the settings of siskinford-entry from
   the given flags and the environment, check platform those of siskinford-platform. Files
   hold JSON as the platform stores it, the deployment file TOML.
 `
