--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -20,8 +20,8 @@
 //
 // A host is most likely to stall while it works on an order, and then its rank
 // can't be asked. So the hold is passed on by another rank's relay, which has to
-// answer once more, a little later, before its own rank is armed: a rank that was never asked to be
-// armed needs no fence, and the change is undone without it.
+// answer once more, a little later, before its own rank is armed: a rank that was
+// never asked to be armed needs no fence, and the change is undone without it.
 //
 // Holds do not tell whose they are. Each lease therefore has its own rank, and in
 // small groups its own residue of steps, at which it holds; it never holds a step
