Undoing a change that had armed no rank releases its own step only

Cause: TestSchedules with 100,000 schedules, seed 30348: a deposed coordinator undid its change at once, as it had asked no rank to be armed, and then released all steps that it had seen held, its successor's among them. Change: steps of others are released only if every rank took a fence.

--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -260,12 +260,25 @@
 		return out
 	}
 	m.permit()
-	m.decideHeld()
+	if m.allFenced() {
+		m.decideHeld()
+	}
 	m.version, m.target = 0, nil
 	m.enter(Releasing, now, "no rank is armed")
 	return out
 }
 
+// allFenced reports whether no rank is armed with any version, so that holds of other
+// coordinators are needed no more.
+func (m *Machine) allFenced() bool {
+	for i := range m.ranks {
+		if !m.fenced(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayDisarm reports whether a version cannot be armed at some rank.
 func (m *Machine) mayDisarm(version uint64) bool {
 	for i := range m.ranks {
--- a/balance/mapswitch/explore_test.go
+++ b/balance/mapswitch/explore_test.go
@@ -72,6 +72,7 @@
 	{6900, "a coordinator disarmed a version that its fences do not cover"},
 	{13260, "the hold of a deposed coordinator blocked a change that was armed everywhere"},
 	{4266, "a machine that started anew permitted holds while nothing was armed"},
+	{30348, "an undone change that had armed no rank released the step of a successor"},
 	{11826, "a deposed coordinator whose fences were answered late released the step of its successor"},
 }
 
