Silence of streams and groups is judged by the engine's and the route's times

Cause: on a site of our own with engines five times slower (steps of 22 ms and more, targets of 1.5 s) groups flapped: "no pass begins" came after 450 ms, while full passes last 0.26 s and uneven ones 0.9 s. A first event that took over 1.2 s counted as a hung rank though callers wait 6 s. A change of a service's engine took effect at the next start only. Ruled out: older reports (their age is 0.2 s and part of the 450 ms). Change: a group stands after five full passes, 450 ms at least; a stream is silent after 60 % (first event) or 35 % (next ones) of the time after which its client leaves, which gives the figures used so far for targets of 0.5 s; services take over newer configurations. Conclusion: sites whose passes are short behave as before.

--- a/entry/direct/groups.go
+++ b/entry/direct/groups.go
@@ -27,9 +27,12 @@
 	// staleAfter is the age from which on a look no longer counts. Relays repeat
 	// theirs each second.
 	staleAfter = 1500 * time.Millisecond
-	// stalledAfter is the time without a new pass, while requests run, after
-	// which a group counts as down. The longest passes take a fifth of a second.
-	stalledAfter = 450 * time.Millisecond
+	// minStalled and stalledPasses give the time without a new pass, while requests
+	// run, after which a group counts as down. Reports are up to a fifth of a second
+	// old. A rank with 3.5 times the mean load, as under an initial map, makes a full
+	// pass as much longer; prompts that are read in it do the rest.
+	minStalled    = 450 * time.Millisecond
+	stalledPasses = 5
 	// judgeInterval is the time between judgements of all groups.
 	judgeInterval = 50 * time.Millisecond
 	// relistInterval is the time between looks at the list of endpoints.
@@ -239,6 +242,7 @@
 // judge tells the service which groups are down.
 func (g *GroupWatch) judge(now time.Time) {
 	groups := make(map[id.Group]seenGroup)
+	stalledAfter := g.Service.stalledAfter()
 	reason, fresh, down := "", 0, 0
 	for _, w := range g.links {
 		if w.state.Group == "" || now.Sub(w.seen) > staleAfter {
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -62,8 +62,10 @@
 		s := h.services[c.Name]
 		if s == nil {
 			s = newService(c, h.opt)
-			s.setBackends(h.directory.Service(c.Name))
+		} else {
+			s.configure(c)
 		}
+		s.setBackends(h.directory.Service(c.Name))
 		next[c.Name] = s
 	}
 	h.services = next
@@ -236,21 +238,6 @@
 	panic(http.ErrAbortHandler) // The client went away or stopped sending.
 }
 
-const (
-	// clientSilence is the least silence after which clients abandon a stream. The
-	// users' clients also wait for silenceTargets targets or silenceGaps gaps.
-	clientSilence  = 2 * time.Second
-	silenceTargets = 4
-	silenceGaps    = 8
-	// silenceMargin is taken off for the way to the client.
-	silenceMargin = 300 * time.Millisecond
-)
-
-// silenceLimit returns the silence before which a stream must go on.
-func silenceLimit(r *routes.Route) time.Duration {
-	return max(clientSilence, silenceTargets*r.Target, silenceGaps*r.MaxGap) - silenceMargin
-}
-
 // priority returns the rank of the request, zero first.
 func (q *request) priority() int {
 	if q.team != nil && q.team.Priority != nil {
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -66,14 +66,32 @@
 		return intake.Config{Overcommit: plainOvercommit, FirstAnswer: 50 * time.Millisecond, Outage: time.Second}
 	}
 	e := s.Engine
-	steps := e.MeanAnswer * float64(e.Step+time.Duration(e.Slots)*e.PerSequence)
-	c := intake.Config{FirstAnswer: 150 * time.Millisecond, WholeAnswer: time.Duration(steps)}
+	whole := e.MeanAnswer * float64(e.FullStep())
+	c := intake.Config{FirstAnswer: 150 * time.Millisecond, WholeAnswer: time.Duration(whole)}
 	if e.PerSequence > 0 {
 		c.Fixed = float64(e.Step) / float64(e.PerSequence)
 	}
 	return c
 }
 
+// configure takes over a newer configuration of the service.
+func (s *Service) configure(c routes.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = c
+}
+
+// stalledAfter returns the time without a new pass after which a group of the
+// service counts as down.
+func (s *Service) stalledAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.Engine == nil {
+		return minStalled
+	}
+	return max(minStalled, stalledPasses*s.config.Engine.FullPass())
+}
+
 func (s *Service) now() time.Duration { return time.Since(s.began) }
 
 // setBackends replaces the endpoints.
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -12,16 +12,6 @@
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
-const (
-	// silentFirst and silentNext are the times without a first or a further event
-	// after which a stream is continued elsewhere while others go on.
-	silentFirst = 1200 * time.Millisecond
-	silentNext  = 700 * time.Millisecond
-	// othersGoOn is the greatest silence of all streams of a service with which
-	// a silent stream is held against its endpoint.
-	othersGoOn = 300 * time.Millisecond
-)
-
 var errSilent = errors.New("the stream fell silent while others go on")
 
 // errClientGone reports that events can no longer be passed on.
@@ -110,7 +100,7 @@
 	defer func() { slot.End(outcome) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(q.service, cancel)
+	watch := newWatch(q.service, silencesOf(q.route), cancel)
 	defer watch.stop()
 	x, err := h.send(ctx, q, slot, s.last)
 	if err != nil {
@@ -217,25 +207,26 @@
 
 // watch ends a try whose stream is silent while others of the service go on.
 type watch struct {
-	service *Service
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
+	service  *Service
+	silences silences
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
 }
 
-func newWatch(s *Service, cancel context.CancelCauseFunc) *watch {
-	w := &watch{service: s, cancel: cancel}
-	w.timer = time.AfterFunc(silentFirst, w.expire)
+func newWatch(s *Service, silent silences, cancel context.CancelCauseFunc) *watch {
+	w := &watch{service: s, silences: silent, cancel: cancel}
+	w.timer = time.AfterFunc(silent.first, w.expire)
 	return w
 }
 
 func (w *watch) expire() {
-	if w.service.Silence() <= othersGoOn {
+	if w.service.Silence() <= w.silences.others {
 		w.cancel(errSilent)
 		return
 	}
-	w.timer.Reset(othersGoOn)
+	w.timer.Reset(w.silences.others)
 }
 
-func (w *watch) event() { w.timer.Reset(silentNext) }
+func (w *watch) event() { w.timer.Reset(w.silences.next) }
 
 func (w *watch) stop() { w.timer.Stop() }
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -108,6 +108,26 @@
 	assert.Equal(t, (<-other).body, wantEvents(1, 9))
 }
 
+// TestSlowStreamIsNotSilent names the pattern "engines whose callers expect little
+// speed": a first event or a pause that would be an outage elsewhere is usual.
+func TestSlowStreamIsNotSilent(t *testing.T) {
+	slow := stream
+	slow.Target, slow.MaxGap = 1200*time.Millisecond, 700*time.Millisecond
+	late := func(n int, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		events(3, 0, 900*time.Millisecond)(n, w, r)
+	}
+	a, b := newBackend(t, "a", late), newBackend(t, "b", events(9, 0, 500*time.Millisecond))
+	e := newEntry(t, slow, a, b)
+	other := startAt(e, "b", "a") // Its events go on.
+	got := e.send(http.MethodPost)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wantEvents(1, 3))
+	assert.Equal(t, len(a.requests()), 1)
+	assert.Equal(t, len(b.requests()), 1)
+	assert.NilError(t, (<-other).err)
+}
+
 // TestHungRankGetsNoNewStreams: a rank whose host is frozen looks idle, as nothing
 // that runs there ends. One silent stream is enough to prefer a busier rank.
 func TestHungRankGetsNoNewStreams(t *testing.T) {
--- a/entry/routes/config.go
+++ b/entry/routes/config.go
@@ -108,6 +108,17 @@
 	Experts *Experts
 }
 
+// FullStep returns the time of a step while all slots generate.
+func (e *Engine) FullStep() time.Duration {
+	return e.Step + time.Duration(e.Slots)*e.PerSequence
+}
+
+// FullPass returns the time of a pass while all slots generate, without the
+// prompts that are read in it.
+func (e *Engine) FullPass() time.Duration {
+	return time.Duration(max(e.Stride, 1)) * e.FullStep()
+}
+
 // Experts describes the experts of a group of ranks.
 type Experts struct {
 	// Sets is the number of sets of layers, each with experts of its own.
