The entry that decides maps samples some ranks, and maps are short on the wire

Ruled out: relays that sum up for others (a second path and more memory on 72 hosts); deltas of maps (relays would keep state). Tests: TestSamplesDoNotGrowWithTheGroup, TestSampledRanksAreReplaced (found that two of three ranks never made an estimate, by which the mute one was judged), TestLooksAreCloserAfterAnOrder, TestLookIsOneMessage, TestMapOfALargeGroupIsSmall, FuzzMap.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -25,6 +25,9 @@
 	repeatLooks = 3
 	minRepeat   = 200 * time.Millisecond
 	maxRepeat   = time.Second
+	// changeTime is the time after an order for which the rank is looked at as
+	// during a change. Changes of maps take 150 ms, most of it to copy weights.
+	changeTime = 500 * time.Millisecond
 	// maxLine bounds a message of an entry. A map of 72 ranks with 12 sets takes 20 KB.
 	maxLine = 1 << 20
 	// writeTimeout ends a connection whose other end no longer reads.
@@ -86,6 +89,8 @@
 	mu sync.Mutex // guards writes
 
 	watch chan relay.Watch
+	// ordered tells the sampler that an order came.
+	ordered chan struct{}
 }
 
 func (s *Server) serve(ctx context.Context, c net.Conn) {
@@ -94,7 +99,7 @@
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	s.Report("entry.connected", nil)
-	x := &session{server: s, conn: c, watch: make(chan relay.Watch, 1)}
+	x := &session{server: s, conn: c, watch: make(chan relay.Watch, 1), ordered: make(chan struct{}, 1)}
 	go x.sample(ctx)
 	s.Report("entry.disconnected", x.read(ctx))
 }
@@ -110,6 +115,10 @@
 		}
 		switch {
 		case m.Order != nil:
+			select {
+			case x.ordered <- struct{}{}:
+			default: // It was told and has not looked yet.
+			}
 			go x.order(ctx, *m.Order)
 		case m.Watch != nil:
 			select {
--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -167,6 +168,38 @@
 	assert.Equal(t, sample.From, uint64(1))
 }
 
+// TestLooksAreCloserAfterAnOrder: outside of changes few states are sent, and what an
+// order does is told soon.
+func TestLooksAreCloserAfterAnOrder(t *testing.T) {
+	e := &engine{state: relay.State{Step: 5}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 60000, ChangeMillis: 10}})
+	x.next("state", func(m relay.FromRelay) bool { return m.State != nil })
+	x.send(relay.ToRelay{Order: &relay.Order{ID: 7, Op: relay.Prepare, Version: 3}})
+	x.next("result", func(m relay.FromRelay) bool { return m.Result != nil })
+	e.set(func() { e.state.Prepared = 3 })
+	x.next("state of the change", func(m relay.FromRelay) bool { return m.State != nil && m.State.Prepared == 3 })
+	time.Sleep(changeTime)
+	e.set(func() { e.state.Step = 9 })
+	assert.NilError(t, x.conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+	for x.lines.Scan() {
+		assert.Assert(t, !strings.Contains(x.lines.Text(), `"step":9`), "looked at as during a change")
+	}
+}
+
+// TestLookIsOneMessage: each message wakes the entry.
+func TestLookIsOneMessage(t *testing.T) {
+	e := &engine{state: relay.State{Born: 1, Epoch: 2, Step: 5}, counts: relay.Counts{Step: 5, Epoch: 2, Tokens: []uint64{1}}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10, SampleMillis: 10}})
+	e.awaitCounts(t, 1)
+	first := x.next("look", func(relay.FromRelay) bool { return true })
+	assert.Assert(t, first.Layout != nil && first.State != nil)
+	e.set(func() { e.state.Step, e.counts = 9, relay.Counts{Step: 9, Epoch: 2, Tokens: []uint64{3}} })
+	look := x.next("sample", func(m relay.FromRelay) bool { return m.Sample != nil })
+	assert.Assert(t, look.State != nil && look.State.Step == 9)
+}
+
 // TestStandingStateIsRepeated lets an entry tell a standing group from a silent relay.
 func TestStandingStateIsRepeated(t *testing.T) {
 	x := connect(t, &engine{state: relay.State{Step: 5}})
--- a/agent/relay/sample.go
+++ b/agent/relay/sample.go
@@ -14,7 +14,9 @@
 	watch   relay.Watch
 	last    relay.State
 	sentAt  time.Time
-	layout  relay.Layout
+	// changing is the time until which an order may still show effects.
+	changing time.Time
+	layout   relay.Layout
 	// base is what was counted up to the last sample.
 	base     relay.Counts
 	baseBorn int64
@@ -27,12 +29,15 @@
 	s := &sampler{session: x}
 	for {
 		var tick <-chan time.Time
-		if s.watch.StateMillis > 0 {
-			tick = time.After(max(time.Duration(s.watch.StateMillis)*time.Millisecond, minInterval))
+		if i := s.interval(time.Now()); i > 0 {
+			tick = time.After(i)
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-x.ordered:
+			s.changing = time.Now().Add(changeTime)
+			continue
 		case s.watch = <-x.watch:
 		case <-tick:
 		}
@@ -40,6 +45,18 @@
 	}
 }
 
+// interval returns the time until the next look, zero for none.
+func (s *sampler) interval(now time.Time) time.Duration {
+	ms := s.watch.StateMillis
+	if s.watch.ChangeMillis > 0 && now.Before(s.changing) {
+		ms = s.watch.ChangeMillis
+	}
+	if ms <= 0 {
+		return 0
+	}
+	return max(time.Duration(ms)*time.Millisecond, minInterval)
+}
+
 func (s *sampler) look(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -49,32 +66,39 @@
 		return
 	}
 	s.failing = false
+	var m relay.FromRelay
 	if state.Epoch != s.layout.Epoch || state.Map != s.layout.Version || s.layout.Experts == nil {
 		layout, err := s.session.server.engine.Layout(ctx)
 		if err != nil {
 			s.fail(err)
 			return
 		}
-		s.layout = layout
-		s.session.send(relay.FromRelay{Layout: &layout})
+		s.layout, m.Layout = layout, &layout
 	}
-	if state != s.last || now.Sub(s.sentAt) >= s.repeatAfter() {
-		s.last, s.sentAt = state, now
-		s.session.send(relay.FromRelay{State: &state})
+	if m.Layout != nil || state != s.last || now.Sub(s.sentAt) >= s.repeatAfter() {
+		s.last, s.sentAt, m.State = state, now, &state
+	}
+	m.Sample, err = s.sample(ctx, state, now)
+	if m != (relay.FromRelay{}) {
+		s.session.send(m)
+	}
+	if err != nil {
+		s.fail(err)
 	}
+}
+
+// sample returns what the rank counted since the last sample, nil if none is due.
+func (s *sampler) sample(ctx context.Context, state relay.State, now time.Time) (*relay.Sample, error) {
 	interval := time.Duration(s.watch.SampleMillis) * time.Millisecond
 	if interval <= 0 || now.Sub(s.sampled) < interval || state.Step <= s.base.Step && state.Born == s.baseBorn {
-		return
+		return nil, nil
 	}
 	counts, err := s.session.server.engine.Counts(ctx)
 	if err != nil {
-		s.fail(err)
-		return
+		return nil, err
 	}
 	s.sampled = now
-	if sample := s.advance(state.Born, counts); sample != nil {
-		s.session.send(relay.FromRelay{Sample: sample})
-	}
+	return s.advance(state.Born, counts), nil
 }
 
 // repeatAfter returns the time after which a state is sent although it is the
--- a/balance/expertmap/demand.go
+++ b/balance/expertmap/demand.go
@@ -6,8 +6,10 @@
 type DemandConfig struct {
 	// Sets and Experts are the sets of layers and the experts of a set. Required.
 	Sets, Experts int
-	// Ranks is the number of ranks that send samples. Required.
+	// Ranks is the number of ranks. Required.
 	Ranks int
+	// Sampled is the number of ranks that send samples. Default: Ranks.
+	Sampled int
 	// Memory is the time constant with which samples are forgotten while demand
 	// is steady. Default: 1 s.
 	Memory time.Duration
@@ -28,18 +30,19 @@
 	noiseStep = 0.05
 	// noiseMemory is the part of the noise estimate that each pass replaces.
 	noiseMemory = 0.1
-	// enoughRanks is the part of the ranks whose samples are enough for an estimate.
+	// enoughRanks is the part of the sampled ranks that is enough for an estimate.
 	enoughRanks = 0.75
 )
 
 // Demand estimates how often the experts of each set are chosen, from samples of
-// all ranks. A sudden change drops what was counted before. It is not safe for
+// the ranks. A sudden change drops what was counted before. It is not safe for
 // concurrent use.
 type Demand struct {
 	cfg  DemandConfig
 	sets []setDemand
 
-	// pass collects about one sample of each rank, and seen the ranks that sent one.
+	// pass collects about one sample of each sampled rank, and seen the ranks that
+	// sent one.
 	pass []float64
 	seen []bool
 	have int
@@ -62,6 +65,9 @@
 	if cfg.Shift == 0 {
 		cfg.Shift = defaultShift
 	}
+	if cfg.Sampled == 0 {
+		cfg.Sampled = cfg.Ranks
+	}
 	d := &Demand{cfg: cfg}
 	d.Reset()
 	return d
@@ -84,7 +90,7 @@
 		return false
 	}
 	changed := false
-	if d.seen[rank] && float64(d.have) >= enoughRanks*float64(d.cfg.Ranks) {
+	if d.seen[rank] && float64(d.have) >= enoughRanks*float64(d.cfg.Sampled) {
 		d.close(now) // The ranks that are missing have no work, or are silent.
 		changed = true
 	}
@@ -95,7 +101,7 @@
 	for i, n := range counts {
 		d.pass[i] += n
 	}
-	if d.have == d.cfg.Ranks {
+	if d.have >= d.cfg.Sampled {
 		d.close(now)
 		changed = true
 	}
--- a/entry/edge/maps.go
+++ b/entry/edge/maps.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"reflect"
@@ -251,15 +252,25 @@
 }
 
 // ranksOf lists the endpoints of a service by their group, which is empty for those
-// without a seat in the roster.
+// without a seat in the roster. Those of this zone come first.
 func (e *Edge) ranksOf(s *service, group func(id.Group) bool) []ranklink.Endpoint {
 	seats := s.book.Seats()
+	zones := e.ranks(s.name)
 	var out []ranklink.Endpoint
-	for ep := range e.ranks(s.name) {
+	for ep := range zones {
 		if group(seats[ep.Name].Group) {
 			out = append(out, ep)
 		}
 	}
+	away := func(ep ranklink.Endpoint) int {
+		if zones[ep] == e.cfg.Zone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(out, func(a, b ranklink.Endpoint) int {
+		return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(a.Name, b.Name))
+	})
 	return out
 }
 
--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -22,12 +22,20 @@
 
 // Config holds the settings of a Coordinator. Zero values select the defaults.
 type Config struct {
-	// StateInterval is the interval at which relays look at their rank. Default:
-	// 15 ms, a quarter of a short pass.
+	// StateInterval is the interval at which relays look at their rank during a
+	// change, and always at ranks that are sampled. Default: 15 ms, a quarter of a
+	// short pass.
 	StateInterval time.Duration
+	// IdleInterval is the interval at which relays look at the other ranks while no
+	// change is under way. Default: 60 ms.
+	IdleInterval time.Duration
 	// SampleInterval is the least interval between samples of a rank. Default: 40 ms,
 	// so that each pass is sampled.
 	SampleInterval time.Duration
+	// SampledSlots is the number of slots at the ranks of a group that are sampled;
+	// the others run requests of the same kind. Default: 192, with which maps of a
+	// group of 16 ranks follow the demand.
+	SampledSlots int
 	// Memory is the time constant of the estimate of demand. Default: 1 s.
 	Memory time.Duration
 	// MaxAge is the age from which on an estimate is not planned with. Default: 1 s.
@@ -52,7 +60,9 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.StateInterval, 15*time.Millisecond)
+	setDefault(&c.IdleInterval, 60*time.Millisecond)
 	setDefault(&c.SampleInterval, 40*time.Millisecond)
+	setDefault(&c.SampledSlots, 192)
 	setDefault(&c.Memory, time.Second)
 	setDefault(&c.MaxAge, time.Second)
 	setDefault(&c.PlanInterval, 40*time.Millisecond)
@@ -99,7 +109,8 @@
 	Peers Peers
 	// Engine describes the engines of the service, which are ranks of groups.
 	Engine *routes.Engine
-	// List returns the endpoints that are ranks of the group, or may be.
+	// List returns the endpoints that are ranks of the group, or may be. The first
+	// ones are preferred for samples.
 	List func() []ranklink.Endpoint
 	// Source is the address of this host from which relays are reached.
 	Source netip.Addr
--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -19,16 +19,18 @@
 // group is one group of ranks whose map the session decides on. The session's
 // goroutine owns it.
 type group struct {
-	name      id.Group
-	size      int
-	cfg       Config
-	experts   *routes.Experts
-	slots     int
-	followed  *metrics.Histogram
-	log       zerolog.Logger
-	machine   *mapswitch.Machine
-	demand    *expertmap.Demand
-	ranks     []member
+	name     id.Group
+	size     int
+	cfg      Config
+	experts  *routes.Experts
+	slots    int
+	followed *metrics.Histogram
+	log      zerolog.Logger
+	machine  *mapswitch.Machine
+	demand   *expertmap.Demand
+	ranks    []member
+	// sampledAt is when the last sample of any rank came.
+	sampledAt time.Duration
 	plannedAt time.Duration
 	// maps is the content of the version in use, converted for planning.
 	maps        []expertmap.Map
@@ -55,6 +57,9 @@
 	running int
 	// pace is above one while the rank is slow.
 	pace float64
+	// heard is when the last state came.
+	heard time.Duration
+	sampled
 }
 
 func newGroup(s *session, name id.Group, size int) *group {
@@ -64,6 +69,7 @@
 		machine: mapswitch.New(mapswitch.Config{Ranks: size}, s.lease),
 		demand: expertmap.NewDemand(expertmap.DemandConfig{
 			Sets: s.engine.Experts.Sets, Experts: s.engine.Experts.PerSet, Ranks: size, Memory: s.cfg.Memory,
+			Sampled: s.cfg.sampledRanks(size, s.engine.Slots),
 		}),
 		ranks:    make([]member, size),
 		followed: s.set.GetOrCreateHistogram(fmt.Sprintf("siskinford_map_follows_seconds{group=%q}", string(name))),
@@ -75,15 +81,20 @@
 	return g
 }
 
-func (g *group) onState(l *ranklink.Link, s *relay.State, now time.Duration) {
+// onState takes in a state. It is true if the rank has another link than before.
+func (g *group) onState(l *ranklink.Link, s *relay.State, now time.Duration) bool {
 	if s.Rank < 0 || s.Rank >= g.size {
-		return
+		return false
 	}
 	m := &g.ranks[s.Rank]
 	if s.Born < m.born {
-		return
+		return false
+	}
+	another := m.link != l
+	if another {
+		m.sampled = sampled{}
 	}
-	m.link, m.born, m.running, m.pace = l, s.Born, s.Running, s.Pace
+	m.link, m.born, m.running, m.pace, m.heard = l, s.Born, s.Running, s.Pace, now
 	if s.Epoch > g.machine.Epoch() {
 		g.demand.Reset()
 	}
@@ -91,6 +102,7 @@
 		Rank: s.Rank, Epoch: s.Epoch, Open: s.Open, Step: s.Step, Version: s.Map,
 		Prepared: s.Prepared, Armed: s.Armed, Held: s.Held,
 	}, now)
+	return another
 }
 
 // learn tells the machine the map in use once all ranks told their part of it.
@@ -129,7 +141,9 @@
 	for i, l := range s.Levels {
 		counts[i] = relay.Count(l)
 	}
-	if g.demand.Add(g.rankOf(l), counts, now) {
+	rank := g.rankOf(l)
+	g.sampledAt, g.ranks[rank].sampledAt = now, now
+	if g.demand.Add(rank, counts, now) {
 		g.follow(now)
 	}
 }
--- /dev/null
+++ b/entry/expertmaps/sampled_test.go
@@ -0,0 +1,101 @@
+package expertmaps
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/ranklink"
+	"github.com/siskinford/siskinford/wire/relay"
+)
+
+// sampledGroup returns a group whose ranks are all known, and the order of its endpoints.
+func sampledGroup(t *testing.T, ranks, wanted int) (*group, map[id.Endpoint]int) {
+	t.Helper()
+	g := openGroup(t, ranks, 4, 16)
+	g.cfg.SampledSlots = wanted * g.slots
+	order := make(map[id.Endpoint]int)
+	for r := range g.ranks {
+		name := id.Endpoint(fmt.Sprintf("e%02d", r))
+		order[name] = r
+		g.ranks[r].link = ranklink.Open(t.Context(), ranklink.Options{
+			Endpoint: ranklink.Endpoint{Name: name, Relay: "127.0.0.1:1"}, Events: make(chan ranklink.Event),
+			Report: func(*ranklink.Link, string, error) {},
+		})
+		t.Cleanup(g.ranks[r].link.Close)
+	}
+	return g, order
+}
+
+func (g *group) sampledNow() (out []int) {
+	for r := range g.ranks {
+		if g.ranks[r].on {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// tell lets all ranks but some be heard, and those that are sampled send samples.
+func (g *group) tell(now time.Duration, silent, mute map[int]bool) {
+	for r := range g.ranks {
+		m := &g.ranks[r]
+		if silent[r] {
+			continue
+		}
+		m.heard = now
+		if m.on && !mute[r] {
+			g.onSample(m.link, &relay.Sample{Epoch: 1, Levels: make([]byte, 16)}, now)
+		}
+	}
+}
+
+// TestSamplesDoNotGrowWithTheGroup names the pattern "a group of many ranks": the entry
+// that decides on its maps gets the samples of a few.
+func TestSamplesDoNotGrowWithTheGroup(t *testing.T) {
+	cfg := Config{}.withDefaults()
+	assert.Equal(t, cfg.sampledRanks(16, 12), 16)
+	assert.Equal(t, cfg.sampledRanks(72, 10), 20)
+	assert.Equal(t, cfg.sampledRanks(4000, 10), 20)
+	assert.Equal(t, cfg.sampledRanks(8, 0), 8)
+}
+
+func TestSampledRanksAreReplaced(t *testing.T) {
+	cases := map[string]struct{ silent, mute map[int]bool }{
+		"its host is silent":     {silent: map[int]bool{1: true}},
+		"it sends no samples":    {mute: map[int]bool{1: true}},
+		"all but one say naught": {silent: map[int]bool{1: true, 3: true, 4: true, 5: true}},
+	}
+	want := map[string][]int{
+		"its host is silent":     {0, 2, 3},
+		"it sends no samples":    {0, 2, 3},
+		"all but one say naught": {0, 1, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, order := sampledGroup(t, 6, 3)
+			g.tell(0, nil, nil)
+			g.chooseSampled(order, 0)
+			assert.DeepEqual(t, g.sampledNow(), []int{0, 1, 2})
+			for now := time.Duration(0); now < time.Second; now += 50 * time.Millisecond {
+				g.tell(now, c.silent, c.mute)
+				g.chooseSampled(order, now)
+			}
+			assert.DeepEqual(t, g.sampledNow(), want[name])
+		})
+	}
+}
+
+// TestIdleGroupKeepsItsSampledRanks: no pass, no sample, and nobody's fault.
+func TestIdleGroupKeepsItsSampledRanks(t *testing.T) {
+	g, order := sampledGroup(t, 6, 3)
+	all := map[int]bool{0: true, 1: true, 2: true, 3: true, 4: true, 5: true}
+	for now := time.Duration(0); now < 3*time.Second; now += 50 * time.Millisecond {
+		g.tell(now, nil, all)
+		g.chooseSampled(order, now)
+		assert.DeepEqual(t, g.sampledNow(), []int{0, 1, 2})
+	}
+}
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -30,6 +30,8 @@
 
 	events chan ranklink.Event
 	links  map[id.Endpoint]*ranklink.Link
+	// order holds the place of each endpoint in the list.
+	order map[id.Endpoint]int
 	// layouts holds what each rank last told.
 	layouts map[*ranklink.Link]relay.Layout
 	groups  map[id.Group]*group
@@ -88,9 +90,9 @@
 
 // relist opens links to new endpoints and ends those to endpoints that are gone.
 func (s *session) relist(ctx context.Context, now time.Duration) {
-	known := make(map[id.Endpoint]bool)
-	for _, e := range s.list() {
-		known[e.Name] = true
+	s.order = make(map[id.Endpoint]int)
+	for i, e := range s.list() {
+		s.order[e.Name] = i
 		if l := s.links[e.Name]; l != nil && l.Endpoint() == e {
 			continue
 		} else if l != nil {
@@ -98,14 +100,11 @@
 		}
 		s.links[e.Name] = ranklink.Open(ctx, ranklink.Options{
 			Endpoint: e, Source: s.source, Direct: s.direct, Events: s.events, Report: s.report,
-			Watch: relay.Watch{
-				StateMillis:  int(s.cfg.StateInterval.Milliseconds()),
-				SampleMillis: int(s.cfg.SampleInterval.Milliseconds()),
-			},
+			Watch: s.cfg.watch(false),
 		})
 	}
 	for name, l := range s.links {
-		if !known[name] {
+		if _, ok := s.order[name]; !ok {
 			s.close(l)
 			delete(s.links, name)
 		}
@@ -115,6 +114,9 @@
 			delete(s.asked, n)
 		}
 	}
+	for _, g := range s.groups {
+		g.chooseSampled(s.order, now)
+	}
 }
 
 func (s *session) close(l *ranklink.Link) {
@@ -131,35 +133,45 @@
 const maxRanks = 4096
 
 func (s *session) handle(e ranklink.Event, now time.Duration) {
-	switch {
-	case e.State != nil:
-		if e.State.Group != s.of || e.State.Size < 1 || e.State.Size > maxRanks {
-			return
-		}
-		s.group(e.State.Group, e.State.Size).onState(e.Link, e.State, now)
-		s.groups[e.State.Group].learn(s.layouts)
-	case e.Layout != nil:
+	if e.Layout != nil {
 		s.layouts[e.Link] = *e.Layout
+	}
+	if e.State != nil {
+		s.onState(e.Link, e.State, now)
+	}
+	if e.Layout != nil || e.State != nil {
 		for _, g := range s.groups {
 			g.learn(s.layouts)
 		}
-	case e.Sample != nil:
+	}
+	if e.Sample != nil {
 		for _, g := range s.groups {
 			if g.rankOf(e.Link) >= 0 {
 				g.onSample(e.Link, e.Sample, now)
 			}
 		}
-	case e.Result != nil:
-		a, ok := s.asked[e.Result.ID]
-		if !ok {
-			return
-		}
-		delete(s.asked, e.Result.ID)
-		s.onResult(a, e.Result, now)
+	}
+	if e.Result != nil {
+		s.onResult(e.Result, now)
+	}
+}
+
+func (s *session) onState(l *ranklink.Link, state *relay.State, now time.Duration) {
+	if state.Group != s.of || state.Size < 1 || state.Size > maxRanks {
+		return
+	}
+	g := s.group(state.Group, state.Size)
+	if g.onState(l, state, now) {
+		g.chooseSampled(s.order, now)
 	}
 }
 
-func (s *session) onResult(a asked, r *relay.Result, now time.Duration) {
+func (s *session) onResult(r *relay.Result, now time.Duration) {
+	a, ok := s.asked[r.ID]
+	if !ok {
+		return
+	}
+	delete(s.asked, r.ID)
 	outcome := mapswitch.Unknown
 	switch r.Outcome {
 	case relay.Done:
@@ -206,7 +218,7 @@
 	s.nextOrder++
 	s.asked[s.nextOrder] = asked{group: g, id: o.ID, sent: now}
 	order := relay.Order{
-		ID: s.nextOrder, Op: ops[o.Op], Epoch: o.Epoch, Version: o.Version, Step: o.Step, Experts: o.Map, Fence: s.lease,
+		ID: s.nextOrder, Op: ops[o.Op], Epoch: o.Epoch, Version: o.Version, Step: o.Step, Experts: relay.Map(o.Map), Fence: s.lease,
 	}
 	if via := g.ranks[o.Via].link; via != nil && via != l {
 		via.SendTo(l.Endpoint(), order)
--- /dev/null
+++ b/wire/relay/map_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMapKeepsItsContent(t *testing.T) {
+	for name, m := range map[string]Map{
+		"none":             nil,
+		"no ranks":         {{}, {}},
+		"a rank without":   {{{0, 2}, {}}, {{1}, {300, 70000}}},
+		"ranks and places": {{{0, 2}, {1, 0}}, {{1, 3}, {2, 0}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, err := json.Marshal(Order{Op: Prepare, Experts: m})
+			assert.NilError(t, err)
+			var got Order
+			assert.NilError(t, json.Unmarshal(b, &got))
+			assert.DeepEqual(t, got.Experts, m)
+		})
+	}
+}
+
+// TestMapOfALargeGroupIsSmall names the pattern "a change at many ranks": each of them
+// gets the whole map.
+func TestMapOfALargeGroupIsSmall(t *testing.T) {
+	const sets, ranks, places, experts = 12, 72, 3, 144
+	m := make(Map, sets)
+	for s := range m {
+		m[s] = make([][]int, ranks)
+		for r := range m[s] {
+			for range places {
+				m[s][r] = append(m[s][r], rand.IntN(experts))
+			}
+		}
+	}
+	b, err := m.MarshalText()
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) < 8*1024, "%d bytes", len(b))
+}
+
+func TestMapsThatCannotBeRead(t *testing.T) {
+	for name, text := range map[string]string{
+		"not base64":           "?",
+		"cut off":              "AQ",
+		"more ranks than text": "AQH_____Dw",
+		"bytes left over":      "AAAA",
+		"no end of a number":   "_____________w",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var m Map
+			assert.Assert(t, m.UnmarshalText([]byte(text)) != nil, "%v", m)
+		})
+	}
+}
+
+func FuzzMap(f *testing.F) {
+	f.Add([]byte("AgIC"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var m Map
+		if m.UnmarshalText(text) != nil {
+			return
+		}
+		b, err := m.MarshalText()
+		assert.NilError(t, err)
+		var again Map
+		assert.NilError(t, again.UnmarshalText(b))
+		assert.DeepEqual(t, again, m)
+	})
+}
--- a/wire/relay/messages.go
+++ b/wire/relay/messages.go
@@ -23,15 +23,19 @@
 	// sent if it differs from the last one sent, and with each third look or each
 	// second in any case.
 	StateMillis int `json:"state_ms"`
+	// ChangeMillis takes the place of StateMillis for a while after each order of
+	// the connection. Zero changes nothing.
+	ChangeMillis int `json:"change_ms,omitempty"`
 	// SampleMillis is the least interval between samples of the experts' use.
 	// Zero asks for none.
 	SampleMillis int `json:"sample_ms,omitempty"`
 }
 
-// FromRelay is a message of a relay. One field is set.
+// FromRelay is a message of a relay: what a look showed (State, Layout and
+// Sample, as far as they are due), or one of the other fields.
 type FromRelay struct {
 	State *State `json:"state,omitempty"`
-	// Layout is sent before the first state with another map.
+	// Layout is sent with the first state with another map.
 	Layout *Layout `json:"layout,omitempty"`
 	Sample *Sample `json:"sample,omitempty"`
 	Result *Result `json:"result,omitempty"`
@@ -120,7 +124,7 @@
 	// Step is the pass that Arm, Hold and Release name.
 	Step uint64 `json:"step,omitempty"`
 	// Experts is the map that Prepare brings, by set, rank and place.
-	Experts [][][]int `json:"experts,omitempty"`
+	Experts Map `json:"experts,omitempty"`
 	// Fence is the fencing number of the sender.
 	Fence uint64 `json:"fence,omitempty"`
 }
