Map changes fit the way to the ranks, and undone ones are rarer

The coordinator was an entry alone in its region. Orders were sent again after 40 ms and answers to the first ones no longer counted, so that each change failed ("the relay that passed the hold on is silent"), was undone over seconds while the group was held, and begun anew at once. Change: a machine learns the time of answers, also of orders given up, and of passes; resends, the limits of ping and hold and the step of a change follow from them. After an undone change the next one waits 250 ms, doubled each time up to 8 s. Coordinators are in the zones of their group if there are entries.

--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if ready {
-		m.step = m.stepAfter(m.lastStep() + m.cfg.Lead)
+		m.step = m.stepAfter(m.lastStep() + m.lead())
 		m.enter(Holding, now, "all ranks hold the weights")
 	}
 	return out
@@ -119,7 +119,7 @@
 	if got == Conflict {
 		m.permit() // An earlier try may still be carried out.
 		m.holdTries++
-		m.step = m.stepAfter(m.lastStep() + m.cfg.Lead)
+		m.step = m.stepAfter(m.lastStep() + m.lead())
 		return
 	}
 	m.heldAt = now
@@ -132,7 +132,7 @@
 		m.enter(Releasing, now, "every rank is armed")
 		return nil
 	}
-	if now-m.heldAt > m.cfg.HoldLimit {
+	if now-m.heldAt > max(m.cfg.HoldLimit, m.cfg.PingDelay+holdTrips*m.longestTrip()) {
 		m.enter(Deciding, now, "the step was held for too long")
 		return nil
 	}
@@ -141,7 +141,7 @@
 		k := &m.ranks[i]
 		switch {
 		case k.armed:
-		case k.doubted && now-m.heldAt > m.cfg.PingLimit:
+		case k.doubted && now-m.heldAt > max(m.cfg.PingLimit, m.cfg.PingDelay+resendTrips*k.trip):
 			m.enter(Deciding, now, "the relay that passed the hold on is silent")
 			return out
 		case k.doubted && now-m.heldAt < m.cfg.PingDelay:
@@ -305,6 +305,7 @@
 
 func (m *Machine) released(now time.Duration) {
 	if m.version == 0 {
+		m.pause(now)
 		m.enter(Idle, now, "the change was undone")
 		return
 	}
@@ -323,6 +324,7 @@
 	if m.target != nil {
 		m.current[m.version] = m.target
 	}
+	m.undone = 0
 	m.enter(Idle, now, "the map is in use")
 }
 
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -40,6 +40,12 @@
 
 	pending map[uint64]pending
 	events  []Event
+
+	// pass is about the time between two steps, and steppedAt when the last one was seen.
+	pass, steppedAt time.Duration
+	// undone counts the changes in a row that were undone. None is started before pausedUntil.
+	undone      int
+	pausedUntil time.Duration
 }
 
 // hold is a step held at a rank.
@@ -70,12 +76,16 @@
 	// conflictAt is the number of reports at the last refusal of a fence.
 	conflictAt uint64
 	conflict   bool
+	// trip is about the time in which the rank answers an order.
+	trip time.Duration
 }
 
 // pending is an order that was not answered yet.
 type pending struct {
 	Order
 	sent time.Duration
+	// stale is true for orders whose answer counts only for the time that it took.
+	stale bool
 }
 
 // New returns a machine for the holder of a lease with a fencing number that is
@@ -158,6 +168,7 @@
 	if k.known && r.Step < k.report.Step {
 		return // Reports from another host may overtake each other.
 	}
+	m.notePass(r.Step, now)
 	k.report, k.known = r, true
 	k.reports++
 	if r.Armed != 0 && r.Armed == m.version {
@@ -168,7 +179,9 @@
 // reset forgets the former epoch, whose orders no rank accepts any more.
 func (m *Machine) reset(epoch uint64, now time.Duration) {
 	m.epoch = epoch
-	clear(m.ranks)
+	for i := range m.ranks {
+		m.ranks[i] = rank{trip: m.ranks[i].trip}
+	}
 	clear(m.current)
 	clear(m.decided)
 	clear(m.pending)
@@ -184,7 +197,7 @@
 // Start begins a change to a map, which differs from the current one. It is
 // false if the machine is not idle.
 func (m *Machine) Start(target Map, now time.Duration) bool {
-	if _, _, ok := m.Current(); m.phase != Idle || !ok {
+	if _, _, ok := m.Current(); m.phase != Idle || !ok || now < m.pausedUntil {
 		return false
 	}
 	m.version, m.target, m.step, m.holdTries = m.newVersion(), target, 0, 0
@@ -221,6 +234,10 @@
 		return // It is sent again after the usual time.
 	}
 	delete(m.pending, orderID)
+	m.noteTrip(p, now)
+	if p.stale {
+		return
+	}
 	k := &m.ranks[p.Rank]
 	switch p.Op {
 	case Prepare:
@@ -285,13 +302,16 @@
 
 func (m *Machine) askVia(o Order, now time.Duration) []Order {
 	for id, p := range m.pending {
-		if p.Rank != o.Rank || p.Op != o.Op {
-			continue
-		}
-		if same(p.Order, o) && now-p.sent < m.cfg.Resend {
+		switch {
+		case now-p.sent > maxTrip:
+			delete(m.pending, id)
+		case p.stale || p.Rank != o.Rank || p.Op != o.Op:
+		case same(p.Order, o) && now-p.sent < m.resend(p.Order):
 			return nil
+		default: // Given up, or of an earlier change.
+			p.stale = true
+			m.pending[id] = p
 		}
-		delete(m.pending, id) // Given up, or of an earlier change: its answer no longer counts.
 	}
 	m.nextID++
 	o.ID, o.Epoch = m.nextID, m.epoch
@@ -304,7 +324,7 @@
 // waits reports whether an order of a kind was sent to a rank lately and not answered.
 func (m *Machine) waits(rank int, op Op, now time.Duration) bool {
 	for _, p := range m.pending {
-		if p.Rank == rank && p.Op == op && now-p.sent < m.cfg.Resend {
+		if p.Rank == rank && p.Op == op && !p.stale && now-p.sent < m.resend(p.Order) {
 			return true
 		}
 	}
--- /dev/null
+++ b/balance/mapswitch/timing.go
@@ -0,0 +1,87 @@
+package mapswitch
+
+import "time"
+
+const (
+	// maxTrip bounds the time of an answer that is learned from, well above the way
+	// between two regions and back.
+	maxTrip = 500 * time.Millisecond
+	// tripWeight is the part of a longer answer that counts, so that a host which
+	// stalls once hardly changes the estimate.
+	tripWeight = 4
+	// resendTrips is the number of trips after which an order is sent again.
+	resendTrips = 2
+	// holdTrips is the number of trips for which a step may be held: a ping, an arm
+	// that is sent twice, and one to spare.
+	holdTrips = 5
+	// leadTrips is the number of trips from the last report of a step until all ranks
+	// are armed: that of the report, hold, ping and arm.
+	leadTrips = 4
+	// maxLead bounds the steps between the last one and that of a change.
+	maxLead = 32
+	// passWeight is the part of a new pass that counts for the estimate.
+	passWeight = 4
+	// minPause and maxPause bound the pause after a change that was undone. Undoing
+	// takes about as long as minPause and may hold the group meanwhile.
+	minPause = 250 * time.Millisecond
+	maxPause = 8 * time.Second
+)
+
+// noteTrip learns how long an answer took.
+func (m *Machine) noteTrip(p pending, now time.Duration) {
+	took := now - p.sent
+	k := &m.ranks[p.Rank]
+	switch {
+	case took > maxTrip:
+	case k.trip == 0 || took < k.trip:
+		k.trip = took
+	default:
+		k.trip += (took - k.trip) / tripWeight
+	}
+}
+
+// resend returns the time after which an order is sent again.
+func (m *Machine) resend(o Order) time.Duration {
+	return max(m.cfg.Resend, resendTrips*max(m.ranks[o.Rank].trip, m.ranks[o.Via].trip))
+}
+
+// longestTrip returns the trip to the rank that is farthest away.
+func (m *Machine) longestTrip() time.Duration {
+	var t time.Duration
+	for i := range m.ranks {
+		t = max(t, m.ranks[i].trip)
+	}
+	return t
+}
+
+// notePass learns from a report how long a pass takes.
+func (m *Machine) notePass(step uint64, now time.Duration) {
+	last := m.lastStep()
+	if step <= last {
+		return
+	}
+	if last > 0 {
+		pass := (now - m.steppedAt) / time.Duration(step-last)
+		if m.pass == 0 {
+			m.pass = pass
+		}
+		m.pass += (pass - m.pass) / passWeight
+	}
+	m.steppedAt = now
+}
+
+// lead returns the number of steps between the last one begun and that of a change,
+// so that all ranks are armed before it comes.
+func (m *Machine) lead() uint64 {
+	if m.pass <= 0 {
+		return m.cfg.Lead
+	}
+	need := m.cfg.PingDelay + leadTrips*m.longestTrip()
+	return min(max(m.cfg.Lead, uint64((need+m.pass-1)/m.pass)+1), max(maxLead, m.cfg.Lead))
+}
+
+// pause keeps changes from being started for a while after one that was undone.
+func (m *Machine) pause(now time.Duration) {
+	m.pausedUntil = now + min(minPause<<min(m.undone, 16), maxPause)
+	m.undone++
+}
--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -111,12 +111,12 @@
 type Config struct {
 	// Ranks is the number of ranks of the group. Required.
 	Ranks int
-	// Lead is the number of steps between the last one begun and that of a
+	// Lead is the least number of steps between the last one begun and that of a
 	// change. Default: 2, so that arming ends while a step is still under way
-	// and the group does not wait for it.
+	// and the group does not wait for it. It grows with the way to the ranks.
 	Lead uint64
-	// Resend is the time after which an order without an answer is sent again.
-	// Default: 40 ms, several times the way to a rank and back.
+	// Resend is the least time after which an order without an answer is sent
+	// again. Default: 40 ms, several times the way to a near rank and back.
 	Resend time.Duration
 	// PrepareLimit is the time after which a change whose weights are not
 	// copied is abandoned. Default: 3 s.
@@ -128,8 +128,8 @@
 	// passed it on counts. Default: 20 ms; a host that stalls over an order does so
 	// within a few milliseconds of it.
 	PingDelay time.Duration
-	// PingLimit is the time after the hold in which that relay must answer. Default:
-	// 100 ms, PingDelay and twice Resend.
+	// PingLimit is the least time after the hold in which that relay must answer.
+	// Default: 100 ms, PingDelay and twice Resend.
 	PingLimit time.Duration
 }
 
--- a/entry/edge/maps.go
+++ b/entry/edge/maps.go
@@ -111,40 +111,69 @@
 			return
 		case <-t.C:
 		}
-		hosts := m.edge.mesh.Hosts()
+		hosts, zones := m.edge.mesh.Hosts(), m.edge.mesh.Zones()
 		m.mu.Lock()
 		for _, s := range m.of {
-			m.assign(s, hosts)
+			m.assign(s, hosts, zones)
 		}
 		m.mu.Unlock()
 	}
 }
 
-// falls reports whether a duty falls to this entry as one of the first few.
-func (m *maps) falls(to string, hosts []id.Host, first int) bool {
-	ranked := rendezvous.Rank(to, hosts)
+// falls reports whether this entry is one of the first few of a ranking.
+func (m *maps) falls(ranked []id.Host, first int) bool {
 	return slices.Contains(ranked[:min(first, len(ranked))], m.edge.cfg.Host)
 }
 
+// rankNear ranks hosts for a duty. Those in the zones of what the duty is about come
+// first, as a coordinator pays the way to its ranks several times for each change.
+func rankNear(to string, hosts []id.Host, zones map[id.Host]id.Zone, near map[id.Zone]bool) []id.Host {
+	var in, out []id.Host
+	for _, h := range hosts {
+		if near[zones[h]] {
+			in = append(in, h)
+		} else {
+			out = append(out, h)
+		}
+	}
+	return append(rendezvous.Rank(to, in), rendezvous.Rank(to, out)...)
+}
+
+// zonesOf returns the zones of the ranks of each group.
+func (m *maps) zonesOf(s *service) map[id.Group]map[id.Zone]bool {
+	seats := s.book.Seats()
+	out := make(map[id.Group]map[id.Zone]bool)
+	for ep, zone := range m.edge.ranks(s.name) {
+		group := seats[ep.Name].Group
+		if out[group] == nil {
+			out[group] = make(map[id.Zone]bool)
+		}
+		out[group][zone] = true
+	}
+	return out
+}
+
 // assign starts and stops what falls to this entry. A coordinator that acts goes
 // on. The caller holds mu.
-func (m *maps) assign(s *service, hosts []id.Host) {
-	switch scout := m.falls("scout."+string(s.name), hosts, scouts); {
+func (m *maps) assign(s *service, hosts []id.Host, zones map[id.Host]id.Zone) {
+	switch scout := m.falls(rendezvous.Rank("scout."+string(s.name), hosts), scouts); {
 	case scout && s.scout == nil:
 		m.startScout(s)
 	case !scout && s.scout != nil:
 		s.scout()
 		s.scout = nil
 	}
-	groups := s.book.Groups()
-	for _, group := range groups {
-		if s.groups[group] == nil && m.falls(string(expertmaps.DutyOf(s.name, group)), hosts, candidates) {
+	near := m.zonesOf(s)
+	falls := make(map[id.Group]bool)
+	for _, group := range s.book.Groups() {
+		ranked := rankNear(string(expertmaps.DutyOf(s.name, group)), hosts, zones, near[group])
+		falls[group] = m.falls(ranked, candidates)
+		if s.groups[group] == nil && falls[group] {
 			m.startCoordinator(s, group)
 		}
 	}
 	for group, c := range s.groups {
-		falls := slices.Contains(groups, group) && m.falls(string(expertmaps.DutyOf(s.name, group)), hosts, candidates)
-		if !falls && c.Claim() == 0 {
+		if !falls[group] && c.Claim() == 0 {
 			c.cancel()
 			delete(s.groups, group)
 		}
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -254,6 +254,17 @@
 	return out
 }
 
+// Zones returns the availability zones of all known members and the own one.
+func (m *Mesh) Zones() map[id.Host]id.Zone {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[id.Host]id.Zone{m.opt.Self.Host: m.opt.Self.Zone}
+	for host, p := range m.peers {
+		out[host] = p.member.Zone
+	}
+	return out
+}
+
 // Known returns the number of registered members, the own one included. It
 // counts those that are not in touch, which may still be at work.
 func (m *Mesh) Known() int {
