Coordinating a large group takes time in line with its ranks

Each rank's order looked through the pending orders of all ranks, and the undoing of a change asked for each rank whether any rank was fenced, which asked all ranks again. Each state built the map anew. Ruled out: the planner (it runs once for a rested map). Change: pending orders belong to their rank (the ID tells it), the highest armed version is looked up once a step, maps are learned when a layout, link or epoch changes, and events that wait together are thought about once.

--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -186,8 +186,9 @@
 		m.enter(Releasing, now, "every rank is armed")
 		return nil
 	}
+	against := m.mostArmed()
 	for i := range m.ranks {
-		if m.unarmed(i) {
+		if m.unarmed(i, against) {
 			m.enter(Undoing, now, "a rank was never armed")
 			return nil
 		}
@@ -202,21 +203,26 @@
 }
 
 // unarmed reports whether the version of the change cannot be armed at a rank, now or
-// later. Only this lease's orders name the version.
-func (m *Machine) unarmed(i int) bool {
-	return m.fenced(i) || m.version != 0 && m.target != nil && !m.ranks[i].asked && m.ranks[i].report.Armed == 0
+// later. Only this lease's orders name the version. Against is that of mostArmed.
+func (m *Machine) unarmed(i int, against uint64) bool {
+	return m.ranks[i].fenced(against) || m.version != 0 && m.target != nil && !m.ranks[i].asked && m.ranks[i].report.Armed == 0
+}
+
+// mostArmed returns the highest version that is or may be armed.
+func (m *Machine) mostArmed() uint64 {
+	v := m.version
+	for i := range m.ranks {
+		v = max(v, m.ranks[i].report.Armed)
+	}
+	return v
 }
 
 // fenced reports whether a rank took a fence that counts against the versions
 // which are or may be armed. A fence of a lower version tells nothing: the rank
 // may have been armed after it, or a later coordinator has prepared a map there and may
 // arm it at any time.
-func (m *Machine) fenced(i int) bool {
-	against := m.version
-	for j := range m.ranks {
-		against = max(against, m.ranks[j].report.Armed)
-	}
-	return m.ranks[i].fence > against && m.ranks[i].fence >= m.ranks[i].report.Prepared
+func (k *rank) fenced(against uint64) bool {
+	return k.fence > against && k.fence >= k.report.Prepared
 }
 
 // fence asks a rank to prepare the map in use under a new version.
@@ -236,9 +242,10 @@
 func (m *Machine) undo(now time.Duration) []Order {
 	var out []Order
 	fenced := true
+	against := m.mostArmed()
 	for i := range m.ranks {
 		k := &m.ranks[i]
-		if m.unarmed(i) {
+		if m.unarmed(i, against) {
 			continue
 		}
 		fenced = false
@@ -246,7 +253,7 @@
 		if armed == 0 {
 			armed = m.version
 		}
-		if !m.mayDisarm(armed) {
+		if !m.mayDisarm(armed, against) {
 			m.beginRecovery(now, "another coordinator armed a rank")
 			return out
 		}
@@ -271,8 +278,9 @@
 // allFenced reports whether no rank is armed with any version, so that holds of other
 // coordinators are needed no more.
 func (m *Machine) allFenced() bool {
+	against := m.mostArmed()
 	for i := range m.ranks {
-		if !m.fenced(i) {
+		if !m.ranks[i].fenced(against) {
 			return false
 		}
 	}
@@ -280,9 +288,9 @@
 }
 
 // mayDisarm reports whether a version cannot be armed at some rank.
-func (m *Machine) mayDisarm(version uint64) bool {
+func (m *Machine) mayDisarm(version, against uint64) bool {
 	for i := range m.ranks {
-		if m.ranks[i].fence > version || version == m.version && m.unarmed(i) {
+		if m.ranks[i].fence > version || version == m.version && m.unarmed(i, against) {
 			return true
 		}
 	}
--- a/balance/mapswitch/explore_test.go
+++ b/balance/mapswitch/explore_test.go
@@ -117,9 +117,9 @@
 			}
 		}},
 		{"an unanswered arm counts as done", func(m *Machine) {
-			for _, p := range m.pending {
-				if p.Op == Arm {
-					m.ranks[p.Rank].armed = true
+			for i := range m.ranks {
+				for _, p := range m.ranks[i].pending {
+					m.ranks[i].armed = m.ranks[i].armed || p.Op == Arm
 				}
 			}
 		}},
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -1,6 +1,9 @@
 package mapswitch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Machine decides which orders to send to the ranks of one group. It acts for
 // one lease. It is not safe for concurrent use.
@@ -38,8 +41,7 @@
 	// decided lists the holds that may be released at any time.
 	decided map[hold]bool
 
-	pending map[uint64]pending
-	events  []Event
+	events []Event
 
 	// pass is about the time between two steps, and steppedAt when the last one was seen.
 	pass, steppedAt time.Duration
@@ -78,6 +80,8 @@
 	conflict   bool
 	// trip is about the time in which the rank answers an order.
 	trip time.Duration
+	// pending holds the orders that were not answered yet.
+	pending []pending
 }
 
 // pending is an order that was not answered yet.
@@ -102,7 +106,6 @@
 		ranks:       make([]rank, cfg.Ranks),
 		current:     make(map[uint64]Map),
 		decided:     make(map[hold]bool),
-		pending:     make(map[uint64]pending),
 	}
 }
 
@@ -184,7 +187,6 @@
 	}
 	clear(m.current)
 	clear(m.decided)
-	clear(m.pending)
 	m.version, m.target, m.step, m.lastDecided = 0, nil, 0, 0
 	m.enter(Learning, now, "the group formed anew")
 }
@@ -226,19 +228,20 @@
 
 // Result takes in the answer to an order.
 func (m *Machine) Result(orderID uint64, o Outcome, now time.Duration) {
-	p, ok := m.pending[orderID]
-	if !ok || p.Epoch != m.epoch {
+	k := &m.ranks[orderID%uint64(len(m.ranks))]
+	i := slices.IndexFunc(k.pending, func(p pending) bool { return p.ID == orderID })
+	if i < 0 || k.pending[i].Epoch != m.epoch {
 		return
 	}
 	if o == Unknown {
 		return // It is sent again after the usual time.
 	}
-	delete(m.pending, orderID)
-	m.noteTrip(p, now)
+	p := k.pending[i]
+	k.pending = slices.Delete(k.pending, i, i+1)
+	k.noteTrip(now - p.sent)
 	if p.stale {
 		return
 	}
-	k := &m.ranks[p.Rank]
 	switch p.Op {
 	case Prepare:
 		m.onPrepare(k, p.Order, o, now)
@@ -301,21 +304,21 @@
 }
 
 func (m *Machine) askVia(o Order, now time.Duration) []Order {
-	for id, p := range m.pending {
-		switch {
-		case now-p.sent > maxTrip:
-			delete(m.pending, id)
-		case p.stale || p.Rank != o.Rank || p.Op != o.Op:
-		case same(p.Order, o) && now-p.sent < m.resend(p.Order):
+	k := &m.ranks[o.Rank]
+	k.pending = slices.DeleteFunc(k.pending, func(p pending) bool { return now-p.sent > maxTrip })
+	for i := range k.pending {
+		p := &k.pending[i]
+		if p.stale || p.Op != o.Op {
+			continue
+		}
+		if same(p.Order, o) && now-p.sent < m.resend(p.Order) {
 			return nil
-		default: // Given up, or of an earlier change.
-			p.stale = true
-			m.pending[id] = p
 		}
+		p.stale = true // Given up, or of an earlier change.
 	}
 	m.nextID++
-	o.ID, o.Epoch = m.nextID, m.epoch
-	m.pending[o.ID] = pending{Order: o, sent: now}
+	o.ID, o.Epoch = m.nextID*uint64(len(m.ranks))+uint64(o.Rank), m.epoch
+	k.pending = append(k.pending, pending{Order: o, sent: now})
 	return []Order{o}
 }
 
@@ -323,8 +326,8 @@
 
 // waits reports whether an order of a kind was sent to a rank lately and not answered.
 func (m *Machine) waits(rank int, op Op, now time.Duration) bool {
-	for _, p := range m.pending {
-		if p.Rank == rank && p.Op == op && !p.stale && now-p.sent < m.resend(p.Order) {
+	for _, p := range m.ranks[rank].pending {
+		if p.Op == op && !p.stale && now-p.sent < m.resend(p.Order) {
 			return true
 		}
 	}
--- a/balance/mapswitch/recover.go
+++ b/balance/mapswitch/recover.go
@@ -4,7 +4,9 @@
 
 func (m *Machine) beginRecovery(now time.Duration, reason string) {
 	m.clearProgress()
-	clear(m.pending)
+	for i := range m.ranks {
+		m.ranks[i].pending = nil
+	}
 	m.version, m.target = 0, nil
 	m.enter(Recovering, now, reason)
 }
@@ -15,10 +17,11 @@
 func (m *Machine) recover(now time.Duration) []Order {
 	var out []Order
 	var fenced, armed int
+	against := m.mostArmed()
 	for i := range m.ranks {
 		k := &m.ranks[i]
 		switch {
-		case m.fenced(i):
+		case k.fenced(against):
 			fenced++
 		case k.conflict && k.reports > k.conflictAt && k.report.Armed != 0:
 			armed++
--- a/balance/mapswitch/timing.go
+++ b/balance/mapswitch/timing.go
@@ -28,9 +28,7 @@
 )
 
 // noteTrip learns how long an answer took.
-func (m *Machine) noteTrip(p pending, now time.Duration) {
-	took := now - p.sent
-	k := &m.ranks[p.Rank]
+func (k *rank) noteTrip(took time.Duration) {
 	switch {
 	case took > maxTrip:
 	case k.trip == 0 || took < k.trip:
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -72,7 +72,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-s.events:
-			s.handle(e, time.Since(began))
+			s.handleAll(e, began)
 		case <-timer.C:
 		}
 		now := time.Since(began)
@@ -132,14 +132,29 @@
 // 64 ranks of the largest groups planned.
 const maxRanks = 4096
 
+// handleAll handles an event and those that wait behind it, so that many ranks that
+// tell something at once are thought about once.
+func (s *session) handleAll(e ranklink.Event, began time.Time) {
+	s.handle(e, time.Since(began))
+	for range eventQueue {
+		select {
+		case e := <-s.events:
+			s.handle(e, time.Since(began))
+		default:
+			return
+		}
+	}
+}
+
 func (s *session) handle(e ranklink.Event, now time.Duration) {
+	learn := e.Layout != nil
 	if e.Layout != nil {
 		s.layouts[e.Link] = *e.Layout
 	}
 	if e.State != nil {
-		s.onState(e.Link, e.State, now)
+		learn = s.onState(e.Link, e.State, now) || learn
 	}
-	if e.Layout != nil || e.State != nil {
+	if learn {
 		for _, g := range s.groups {
 			g.learn(s.layouts)
 		}
@@ -156,14 +171,18 @@
 	}
 }
 
-func (s *session) onState(l *ranklink.Link, state *relay.State, now time.Duration) {
+// onState takes in a state. It is true if the map in use may have become known by it.
+func (s *session) onState(l *ranklink.Link, state *relay.State, now time.Duration) bool {
 	if state.Group != s.of || state.Size < 1 || state.Size > maxRanks {
-		return
+		return false
 	}
 	g := s.group(state.Group, state.Size)
-	if g.onState(l, state, now) {
+	epoch := g.machine.Epoch()
+	another := g.onState(l, state, now)
+	if another {
 		g.chooseSampled(s.order, now)
 	}
+	return another || g.machine.Epoch() != epoch
 }
 
 func (s *session) onResult(r *relay.Result, now time.Duration) {
