--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// TestSamplesAfterAPauseBeginAnew: what was counted while nobody asked is of an older demand.
+func TestSamplesAfterAPauseBeginAnew(t *testing.T) {
+	e := &engine{state: relay.State{Born: 1, Epoch: 2, Step: 5}, counts: relay.Counts{Step: 5, Epoch: 2, Tokens: []uint64{10}}}
+	x := connect(t, e)
+	asked := &relay.Watch{StateMillis: 10, SampleMillis: 10}
+	x.send(relay.ToRelay{Watch: asked})
+	e.awaitCounts(t, 1)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10}})
+	time.Sleep(50 * time.Millisecond)
+	e.set(func() { e.state.Step, e.counts = 90, relay.Counts{Step: 90, Epoch: 2, Tokens: []uint64{1000}} })
+	x.next("state", func(m relay.FromRelay) bool { return m.State != nil && m.State.Step == 90 })
+	x.send(relay.ToRelay{Watch: asked})
+	e.awaitCounts(t, 2)
+	e.set(func() { e.state.Step, e.counts = 91, relay.Counts{Step: 91, Epoch: 2, Tokens: []uint64{1002}} })
+	sample := x.next("sample", func(m relay.FromRelay) bool { return m.Sample != nil }).Sample
+	assert.Equal(t, sample.From, uint64(90))
+	assert.DeepEqual(t, sample.Levels, []byte{relay.Level(2)})
+}
+
 // TestLookIsOneMessage: each message wakes the entry.
 func TestLookIsOneMessage(t *testing.T) {
 	e := &engine{state: relay.State{Born: 1, Epoch: 2, Step: 5}, counts: relay.Counts{Step: 5, Epoch: 2, Tokens: []uint64{1}}}
--- a/agent/relay/sample.go
+++ b/agent/relay/sample.go
@@ -90,7 +90,11 @@
 // sample returns what the rank counted since the last sample, nil if none is due.
 func (s *sampler) sample(ctx context.Context, state relay.State, now time.Time) (*relay.Sample, error) {
 	interval := time.Duration(s.watch.SampleMillis) * time.Millisecond
-	if interval <= 0 || now.Sub(s.sampled) < interval || state.Step <= s.base.Step && state.Born == s.baseBorn {
+	if interval <= 0 {
+		s.base = relay.Counts{} // What is counted until the next watch is not of one time.
+		return nil, nil
+	}
+	if now.Sub(s.sampled) < interval || state.Step <= s.base.Step && state.Born == s.baseBorn {
 		return nil, nil
 	}
 	counts, err := s.session.server.engine.Counts(ctx)
--- a/entry/expertmaps/bench_test.go
+++ b/entry/expertmaps/bench_test.go
@@ -97,7 +97,7 @@
 	for r, l := range f.links {
 		f.states[r].Step++
 		e := ranklink.Event{Link: l, State: &f.states[r]}
-		if f.group.ranks[r].on {
+		if f.group.ranks[r].sampling {
 			e.Sample = &relay.Sample{Epoch: 1, Levels: f.levels}
 		}
 		f.session.handle(e, f.now)
--- a/entry/expertmaps/sampled.go
+++ b/entry/expertmaps/sampled.go
@@ -11,8 +11,8 @@
 
 // sampled tells how a rank takes part in the estimate of demand.
 type sampled struct {
-	// on is true while the rank is asked for samples.
-	on bool
+	// sampling is true while the rank is asked for samples.
+	sampling bool
 	// askedAt is when the rank was first asked, and sampledAt when its last sample came.
 	askedAt, sampledAt time.Duration
 	// mutedAt is when the rank was last given up for sending none, zero for never.
@@ -53,7 +53,7 @@
 		if m.link == nil {
 			continue
 		}
-		if m.on && now-max(m.askedAt, m.sampledAt) > muteAfter && now-g.sampledAt < muteAfter {
+		if m.sampling && now-max(m.askedAt, m.sampledAt) > muteAfter && now-g.sampledAt < muteAfter {
 			m.mutedAt = now
 		}
 		ranks = append(ranks, r)
@@ -63,7 +63,7 @@
 		switch {
 		case m.mutedAt != 0 && now-m.mutedAt < muteFor, now-m.heard > muteAfter:
 			return 2
-		case m.on:
+		case m.sampling:
 			return 0
 		}
 		return 1
@@ -78,9 +78,9 @@
 	wanted := g.cfg.sampledRanks(g.size, g.slots)
 	for i, r := range ranks {
 		m := &g.ranks[r]
-		if on := i < wanted; on != m.on {
-			m.on, m.askedAt = on, now
-			m.link.SetWatch(g.cfg.watch(on))
+		if sampling := i < wanted; sampling != m.sampling {
+			m.sampling, m.askedAt = sampling, now
+			m.link.SetWatch(g.cfg.watch(sampling))
 		}
 	}
 }
--- a/entry/expertmaps/sampled_test.go
+++ b/entry/expertmaps/sampled_test.go
@@ -32,7 +32,7 @@
 
 func (g *group) sampledNow() (out []int) {
 	for r := range g.ranks {
-		if g.ranks[r].on {
+		if g.ranks[r].sampling {
 			out = append(out, r)
 		}
 	}
@@ -47,7 +47,7 @@
 			continue
 		}
 		m.heard = now
-		if m.on && !mute[r] {
+		if m.sampling && !mute[r] {
 			g.onSample(m.link, &relay.Sample{Epoch: 1, Levels: make([]byte, 16)}, now)
 		}
 	}
