A request whose client has gone is reset, not closed

Change: an exchange that ends before its answer resets its connection, so that what the endpoint has not read is dropped and its work ends at once. TestCancelResetsTheConnection failed before (EOF).

--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -96,6 +96,9 @@
 		x.conn.pool.put(x.conn, keepAlive(x.Response.Header))
 		return
 	}
+	if !x.body.ended {
+		x.conn.reset()
+	}
 	x.conn.pool.discard(x.conn)
 }
 
@@ -122,7 +125,7 @@
 // do writes r and reads the head of the answer. When ctx ends the connection is
 // closed. The error is a *NotSentError if no byte left.
 func (c *conn) do(ctx context.Context, r *Request) (*Exchange, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	stop := context.AfterFunc(ctx, c.reset)
 	if err := c.send(r); err != nil {
 		stop()
 		c.pool.discard(c)
@@ -138,6 +141,16 @@
 	return &Exchange{Response: response, conn: c, body: body, stop: stop}, nil
 }
 
+// reset closes the connection so that the endpoint drops what it has not read, and
+// stops its work at once. Closing alone would leave a request that waits at a frozen
+// host to be read when it wakes.
+func (c *conn) reset() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0) // The connection is closed in any case.
+	}
+	_ = c.Conn.Close()
+}
+
 // cause returns the reason for which ctx ended, if it did, and err otherwise.
 func cause(ctx context.Context, err error) error {
 	var notSent *NotSentError
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,6 +199,37 @@
 	}
 }
 
+// TestCancelResetsTheConnection names the pattern "a host freezes and wakes": what waits
+// there of a request whose client has gone must not look like a request to work on.
+func TestCancelResetsTheConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	pool, _ := endpoint(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _, _ = read(r)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"))
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	for name, end := range map[string]func(context.CancelFunc, *Exchange){
+		"the client goes":       func(cancel context.CancelFunc, _ *Exchange) { cancel() },
+		"the answer is dropped": func(_ context.CancelFunc, x *Exchange) { x.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			x, err := pool.Do(ctx, request("GET", "/x", ""), true)
+			assert.NilError(t, err)
+			defer x.Close()
+			end(cancel, x)
+			select {
+			case err := <-ended:
+				assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+			case <-time.After(2 * time.Second):
+				t.Fatal("the endpoint still sees the connection")
+			}
+		})
+	}
+}
+
 // TestAnswerBeforeTheBody covers an endpoint that answers before it has read a
 // long body and reads on: the connection must not carry another request.
 func TestAnswerBeforeTheBody(t *testing.T) {
