Failed orders of one second are told in one line

Now a line a second, with the number of the others. TestFailedOrdersAreToldOnce is of this function, which is new.

--- a/entry/expertmaps/sampled_test.go
+++ b/entry/expertmaps/sampled_test.go
@@ -1,10 +1,13 @@
 package expertmaps
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/core/id"
@@ -89,6 +92,18 @@
 	}
 }
 
+// TestFailedOrdersAreToldOnce names the pattern "a zone is cut off": every order to its ranks fails.
+func TestFailedOrdersAreToldOnce(t *testing.T) {
+	var log bytes.Buffer
+	s := &session{log: zerolog.New(&log)}
+	for now := time.Millisecond; now < 1900*time.Millisecond; now += 10 * time.Millisecond {
+		s.tellFailed(&relay.Result{Outcome: relay.Refused, Detail: "no connection"}, now)
+	}
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	assert.Equal(t, len(lines), 2, "%v", lines)
+	assert.Assert(t, strings.Contains(lines[1], `"others":99`), lines[1])
+}
+
 // TestIdleGroupKeepsItsSampledRanks: no pass, no sample, and nobody's fault.
 func TestIdleGroupKeepsItsSampledRanks(t *testing.T) {
 	g, order := sampledGroup(t, 6, 3)
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -38,6 +38,9 @@
 	// asked maps the IDs of orders at the links to the machines' own.
 	asked     map[uint64]asked
 	nextOrder uint64
+	// failed counts the failed orders since failedAt, when one was logged last.
+	failed   int
+	failedAt time.Duration
 }
 
 type asked struct {
@@ -198,11 +201,25 @@
 	case relay.Conflict:
 		outcome = mapswitch.Conflict
 	default:
-		s.log.Warn().Str("event", "map.order_failed").Str("outcome", string(r.Outcome)).Str("detail", r.Detail).Send()
+		s.tellFailed(r, now)
 	}
 	a.group.machine.Result(a.id, outcome, now)
 }
 
+// failedPause is the least time between two lines on failed orders. Those to the ranks of a zone
+// that is cut off fail together, and again with each resend.
+const failedPause = time.Second
+
+// tellFailed logs a failed order, with the number of those that were not logged before it.
+func (s *session) tellFailed(r *relay.Result, now time.Duration) {
+	if s.failedAt != 0 && now-s.failedAt < failedPause {
+		s.failed++
+		return
+	}
+	s.log.Warn().Str("event", "map.order_failed").Str("outcome", string(r.Outcome)).Str("detail", r.Detail).Int("others", s.failed).Send()
+	s.failed, s.failedAt = 0, now
+}
+
 func (s *session) group(name id.Group, size int) *group {
 	g := s.groups[name]
 	if g == nil || g.size != size {
