Passes are counted over a while, so that bursts of reports move no change away

The log shows changes held for step 36 and 138 with steps 4 and 106 begun: the lead was 32. On a busy machine reports waited and were handled together, by which a pass seemed to take next to nothing. Ruled out: the planner (planned 45 ms after the shift was seen) and the ranks (armed within 40 ms). Change: a pass is the time of 200 ms or more over the steps in it (50 ms for the first one); the lead is 12 at most. Tests: TestBurstsOfReportsAreNoShortPasses failed before; TestFarRanks holds.

--- a/balance/mapswitch/far_test.go
+++ b/balance/mapswitch/far_test.go
@@ -158,3 +158,22 @@
 	}
 	assert.Assert(t, undone >= 2 && undone <= 7, "%d changes were undone in 20 s", undone)
 }
+
+// TestBurstsOfReportsAreNoShortPasses names the pattern "an entry without processor time":
+// reports that waited are handled together, and the step of a change must not move away for it.
+func TestBurstsOfReportsAreNoShortPasses(t *testing.T) {
+	const pass, burst = 30 * time.Millisecond, 5
+	m := New(Config{Ranks: 2}, 1)
+	var step uint64
+	for now := time.Duration(0); now < 3*time.Second; now += burst * pass {
+		for range burst {
+			step++
+			for r := range 2 {
+				m.Report(Report{Rank: r, Epoch: 1, Open: true, Step: step}, now)
+				m.ranks[r].trip = 4 * time.Millisecond
+			}
+		}
+		assert.Assert(t, m.lead() <= 3, "after %v the lead is %d", now, m.lead())
+	}
+	assert.Assert(t, m.pass > pass/2 && m.pass < 2*pass, "a pass takes %v", m.pass)
+}
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -43,8 +43,9 @@
 
 	events []Event
 
-	// pass is about the time between two steps, and steppedAt when the last one was seen.
-	pass, steppedAt time.Duration
+	// pass is about the time between two steps, counted since countedAt from countedStep on.
+	pass, countedAt time.Duration
+	countedStep     uint64
 	// undone counts the changes in a row that were undone. None is started before pausedUntil.
 	undone      int
 	pausedUntil time.Duration
@@ -188,6 +189,7 @@
 	clear(m.current)
 	clear(m.decided)
 	m.version, m.target, m.step, m.lastDecided = 0, nil, 0, 0
+	m.pass, m.countedStep = 0, 0
 	m.enter(Learning, now, "the group formed anew")
 }
 
--- a/balance/mapswitch/timing.go
+++ b/balance/mapswitch/timing.go
@@ -17,10 +17,13 @@
 	// leadTrips is the number of trips from the last report of a step until all ranks
 	// are armed: that of the report, hold, ping and arm.
 	leadTrips = 4
-	// maxLead bounds the steps between the last one and that of a change.
-	maxLead = 32
-	// passWeight is the part of a new pass that counts for the estimate.
-	passWeight = 4
+	// maxLead bounds the steps between the last one and that of a change: enough for
+	// trips of 125 ms and passes of 60 ms.
+	maxLead = 12
+	// passWindow is the least time over which passes are counted, several short ones.
+	passWindow = 200 * time.Millisecond
+	// firstWindowDivisor shortens the first window, as the first change comes soon.
+	firstWindowDivisor = 4
 	// minPause and maxPause bound the pause after a change that was undone. Undoing
 	// takes about as long as minPause and may hold the group meanwhile.
 	minPause = 250 * time.Millisecond
@@ -52,20 +55,24 @@
 	return t
 }
 
-// notePass learns from a report how long a pass takes.
+// notePass learns from a report how long a pass takes. Reports may wait and be handled
+// together, so that only a while of them tells.
 func (m *Machine) notePass(step uint64, now time.Duration) {
-	last := m.lastStep()
-	if step <= last {
+	if step <= m.lastStep() {
 		return
 	}
-	if last > 0 {
-		pass := (now - m.steppedAt) / time.Duration(step-last)
-		if m.pass == 0 {
-			m.pass = pass
-		}
-		m.pass += (pass - m.pass) / passWeight
+	steps, took := step-m.countedStep, now-m.countedAt
+	window := passWindow
+	if m.pass == 0 {
+		window /= firstWindowDivisor
 	}
-	m.steppedAt = now
+	if m.countedStep != 0 && took < window {
+		return
+	}
+	if m.countedStep != 0 {
+		m.pass = took / time.Duration(steps)
+	}
+	m.countedStep, m.countedAt = step, now
 }
 
 // lead returns the number of steps between the last one begun and that of a change,
