An order does not put off the next look at the rank

Since then each order began the wait for the next look anew. A coordinator that sends orders each 10 ms thus learned nothing, so that a change stayed in "settling" for seconds. Change: an order is followed by a look at once.

--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -206,6 +206,23 @@
 	assert.DeepEqual(t, sample.Levels, []byte{relay.Level(2)})
 }
 
+// TestOrdersDoNotKeepFromLooking names the pattern "orders that come faster than looks".
+func TestOrdersDoNotKeepFromLooking(t *testing.T) {
+	e := &engine{state: relay.State{Step: 5}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 60, ChangeMillis: 50}})
+	x.next("state", func(m relay.FromRelay) bool { return m.State != nil })
+	e.set(func() { e.state.Step = 9 })
+	told := false
+	for n := uint64(1); n <= 40 && !told; n++ {
+		x.send(relay.ToRelay{Order: &relay.Order{ID: n, Op: relay.Release, Step: 3}})
+		m := x.next("message", func(relay.FromRelay) bool { return true })
+		told = m.State != nil && m.State.Step == 9
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, told, "no look in 200 ms of orders")
+}
+
 // TestLookIsOneMessage: each message wakes the entry.
 func TestLookIsOneMessage(t *testing.T) {
 	e := &engine{state: relay.State{Born: 1, Epoch: 2, Step: 5}, counts: relay.Counts{Step: 5, Epoch: 2, Tokens: []uint64{1}}}
--- a/agent/relay/sample.go
+++ b/agent/relay/sample.go
@@ -37,7 +37,6 @@
 			return
 		case <-x.ordered:
 			s.changing = time.Now().Add(changeTime)
-			continue
 		case s.watch = <-x.watch:
 		case <-tick:
 		}
