scheduler: estimates age, and free capacity is tried in spite of them

Cause: a request was refused once the estimate of the first event exceeded the time for which its client waits, refused items never started, and only starts corrected the estimate. Ruled out: stale loads of peers (the refusing entries knew 0 to 5 of 36 places taken); an open breaker or an outage (reason and down_for in the log say neither). Change: an estimate keeps its value for 1 s after the last observation, then its distance from the initial value halves each second. With less than half of the slots taken, a request starts in spite of the estimates; with more, one per 250 ms does. One that is too late by the initial estimate is still refused at once.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -33,6 +33,9 @@
 				continue
 			}
 			s.waiting = slices.Delete(s.waiting, i, i+1)
+			if s.maxWait(&item.Request, now) <= 0 {
+				s.lastTrial = now
+			}
 			s.recordStart(e, &item.Request, now)
 			if open := s.breakers[e.group]; open != nil {
 				open.lastTrial = now
@@ -46,7 +49,7 @@
 
 // isLate reports whether a request can no longer meet its target.
 func (s *Scheduler) isLate(r *Request, now time.Duration) bool {
-	return !r.Resumed && now+s.firstEventLatency.mean > r.Target
+	return !r.Resumed && now+s.firstEventLatency.at(now).mean > r.Target
 }
 
 // leastCost returns the endpoint of least cost among those with free capacity, or nil.
@@ -92,7 +95,7 @@
 	if !s.anyUsable(r) {
 		return Decision{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}, true
 	}
-	if now+s.firstEventLatency.mean/2 > r.Deadline {
+	if now+s.firstEventLatency.at(now).mean/2 > r.Deadline && !s.trialDue(r, now) {
 		return Decision{Reason: TooLate}, true
 	}
 	limit := s.maxWait(r, now)
@@ -102,7 +105,7 @@
 		}
 		return Decision{}, false
 	}
-	if wait := s.expectedWait(item, now); wait > limit {
+	if wait := s.expectedWait(item, now); wait > limit && (wait > 0 || !s.trialDue(r, now)) {
 		return Decision{Reason: Overload, RetryAfter: wait - limit}, true
 	}
 	return Decision{}, false
@@ -123,11 +126,7 @@
 
 // maxWait returns the time for which a request may still wait in the queue.
 func (s *Scheduler) maxWait(r *Request, now time.Duration) time.Duration {
-	limit := r.Deadline
-	if r.FirstEventDeadline != 0 {
-		limit = min(limit, r.FirstEventDeadline)
-	}
-	return limit - s.firstEventLatency.upper() - now
+	return r.lastStart() - s.firstEventLatency.at(now).upper() - now
 }
 
 // remainingOutage returns the time for which the groups are expected to stay down.
@@ -164,7 +163,7 @@
 func (s *Scheduler) refuseExpired(now time.Duration) {
 	var out []*Item
 	s.waiting = slices.DeleteFunc(s.waiting, func(item *Item) bool {
-		if s.maxWait(&item.Request, now) > 0 && s.anyUsable(&item.Request) {
+		if s.anyUsable(&item.Request) && (s.maxWait(&item.Request, now) > 0 || s.trialDue(&item.Request, now)) {
 			return false
 		}
 		out = append(out, item)
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	upSince             time.Duration
 	outageEstimate      time.Duration
 	breakers            map[id.Group]*breaker
+	// lastTrial is the last start of a request that by the estimates was too late to start.
+	lastTrial time.Duration
 
 	// periodStarts and lastPeriodStarts count the requests started in the current and
 	// in the previous period.
@@ -186,7 +188,7 @@
 	for _, e := range s.endpoints {
 		own += e.ownLoad.Running
 	}
-	rate := max(recent, float64(own)/max(s.requestDuration.mean, time.Millisecond).Seconds(), 1)
+	rate := max(recent, float64(own)/max(s.requestDuration.at(now).mean, time.Millisecond).Seconds(), 1)
 	if s.recovering(now) {
 		rate = max(rate, s.usualStarts)
 	}
@@ -216,14 +218,14 @@
 		e.ownLoad.PromptTokens = max(e.ownLoad.PromptTokens-r.PromptTokens, 0)
 		s.closeBreaker(e.group, now-elapsed)
 	}
-	s.firstEventLatency.add(elapsed)
+	s.firstEventLatency.add(elapsed, now)
 }
 
 // RecordEnd records the end of a request, elapsed after its start. answered is false if
 // it had no first event.
-func (s *Scheduler) RecordEnd(name id.Endpoint, r *Request, answered bool, elapsed time.Duration) {
+func (s *Scheduler) RecordEnd(name id.Endpoint, r *Request, answered bool, elapsed, now time.Duration) {
 	if answered {
-		s.requestDuration.add(elapsed)
+		s.requestDuration.add(elapsed, now)
 	}
 	e := s.byName[name]
 	if e == nil {
@@ -312,22 +314,3 @@
 
 // Waiting returns the number of requests in the queue.
 func (s *Scheduler) Waiting() int { return len(s.waiting) }
-
-// estimate holds the moving averages of a duration and of its absolute deviation.
-type estimate struct{ mean, deviation time.Duration }
-
-const estimateDivisor = 16
-
-func newEstimate(d time.Duration) estimate { return estimate{mean: d, deviation: d / 4} }
-
-func (e *estimate) add(d time.Duration) {
-	diff := d - e.mean
-	e.mean += diff / estimateDivisor
-	if diff < 0 {
-		diff = -diff
-	}
-	e.deviation += (diff - e.deviation) / estimateDivisor
-}
-
-// upper returns the mean plus one deviation, which most observations do not exceed.
-func (e *estimate) upper() time.Duration { return e.mean + e.deviation }
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -226,8 +226,8 @@
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.RecordEnd(x.Backend.Name, x.request, x.answered, s.now()-x.started)
 	now := s.now()
+	s.scheduler.RecordEnd(x.Backend.Name, x.request, x.answered, now-x.started, now)
 	if until := s.suspectUntil(x.Backend.Name, o, now); until > now {
 		s.scheduler.Suspect(x.Backend.Name, until)
 	}
