Endpoints that leave or ask for a pause get no more requests

A replica that leaves says so in all its answers, and a 503 may carry Retry-After; the entry knew neither, and went by the platform's list alone. Ruled out: going by 'Connection: close', which replicas send now and then without leaving. The service keeps departures by the revision of the registration, so that a new start on the same name or address is free again and a lapse of the list changes nothing; peers of the cell and other cells learn of them with the loads. The scheduler keeps requests of all kinds from an endpoint until its back-off ends, then sends one trial at a time until one is answered; if all endpoints back off for longer than a request can wait, it is refused at once with the earliest end. A restart of the entry forgets both.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -62,7 +62,7 @@
 	}
 	for i := range s.endpoints {
 		e := s.endpoints[(i+offset)%len(s.endpoints)]
-		if !e.Usable || e.blocked || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
+		if !e.accepts(now) || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
 			continue
 		}
 		running := e.ownLoad.Running + e.peerLoad.Running
@@ -105,6 +105,9 @@
 		}
 		return Decision{}, false
 	}
+	if wait := s.earliestStart(r, now) - now; wait > limit && wait > 0 {
+		return Decision{Reason: Overload, RetryAfter: wait}, true
+	}
 	if wait := s.expectedWait(item, now); wait > limit && (wait > 0 || !s.trialDue(r, now)) {
 		return Decision{Reason: Overload, RetryAfter: wait - limit}, true
 	}
@@ -153,7 +156,7 @@
 			ahead++
 		}
 	}
-	if ahead -= s.freeCapacity(); ahead <= 0 {
+	if ahead -= s.freeCapacity(now); ahead <= 0 {
 		return 0
 	}
 	return time.Duration(float64(ahead) / s.startRate(now) * float64(time.Second))
@@ -170,7 +173,7 @@
 		return true
 	})
 	for _, item := range out {
-		d := Decision{Reason: Overload, RetryAfter: s.expectedWait(item, now)}
+		d := Decision{Reason: Overload, RetryAfter: max(s.expectedWait(item, now), s.earliestStart(&item.Request, now)-now)}
 		switch {
 		case !s.anyUsable(&item.Request):
 			d = Decision{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
--- a/balance/scheduler/estimate_test.go
+++ b/balance/scheduler/estimate_test.go
@@ -88,7 +88,7 @@
 		switch x := rng.IntN(100); {
 		case x < 45:
 			r := h.chatRequest()
-			free := h.scheduler.freeCapacity() > 0 && h.scheduler.Waiting() == 0 && !h.scheduler.down && !h.scheduler.allBreakersOpen()
+			free := h.scheduler.freeCapacity(h.now) > 0 && h.scheduler.Waiting() == 0 && !h.scheduler.down && !h.scheduler.allBreakersOpen()
 			d := h.submit(r)
 			if d.Endpoint != "" {
 				running = append(running, started{endpoint: d.Endpoint, request: r, at: h.now})
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -50,7 +50,8 @@
 	// blocked is true while the endpoint's group is down.
 	blocked bool
 	// group is empty if unknown.
-	group id.Group
+	group   id.Group
+	backoff backoff
 }
 
 // usualStartsPeriods is the number of periods over which usualStarts averages.
@@ -161,6 +162,7 @@
 func (s *Scheduler) recordStart(e *endpoint, r *Request, now time.Duration) {
 	e.ownLoad.Running++
 	e.ownLoad.PromptTokens += r.PromptTokens
+	e.backoff.recordStart()
 	s.countStart(now)
 }
 
@@ -202,10 +204,10 @@
 }
 
 // freeCapacity returns the unused capacity of the usable endpoints.
-func (s *Scheduler) freeCapacity() int {
+func (s *Scheduler) freeCapacity(now time.Duration) int {
 	sum := 0
 	for _, e := range s.endpoints {
-		if e.Usable && !e.blocked {
+		if e.accepts(now) {
 			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
 		}
 	}
@@ -217,6 +219,7 @@
 	if e := s.byName[name]; e != nil {
 		e.ownLoad.PromptTokens = max(e.ownLoad.PromptTokens-r.PromptTokens, 0)
 		s.closeBreaker(e.group, now-elapsed)
+		e.backoff.recordEnd(now-elapsed, true)
 	}
 	s.firstEventLatency.add(elapsed, now)
 }
@@ -232,6 +235,7 @@
 		return
 	}
 	e.ownLoad.Running = max(e.ownLoad.Running-1, 0)
+	e.backoff.recordEnd(now-elapsed, answered)
 	if !answered {
 		e.ownLoad.PromptTokens = max(e.ownLoad.PromptTokens-r.PromptTokens, 0)
 	}
--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	defer x.Close()
-	info, err := h.checkResponse(q, x)
+	info, err := h.checkResponse(q, slot, x)
 	if err != nil {
 		outcome = Failed
 		return nil, err
@@ -150,10 +150,12 @@
 	return x, err
 }
 
-// checkResponse reports whether a response may be forwarded, by its status and headers.
-func (h *Handler) checkResponse(q *request, x *upstream.Exchange) (ResponseInfo, error) {
+// checkResponse reports whether a response may be forwarded, by its status and headers, and
+// records what the endpoint says about itself.
+func (h *Handler) checkResponse(q *request, slot *Slot, x *upstream.Exchange) (ResponseInfo, error) {
 	r := x.Response
 	info := h.opt.Codec.ParseResponse(r.StatusCode, r.Header)
+	q.service.recordSignals(slot, info, q.info.ID)
 	if !info.NotRun {
 		q.mayHaveRun = true
 	}
--- a/entry/direct/codec.go
+++ b/entry/direct/codec.go
@@ -64,6 +64,11 @@
 	Signed bool
 	// Request is the ID of the request that the response belongs to.
 	Request id.Request
+	// Leaving reports that the endpoint is about to leave and wants no new requests.
+	Leaving bool
+	// RetryAfter is the time for which the endpoint wants no requests from this entry, zero
+	// for none.
+	RetryAfter time.Duration
 	// AtFault is the endpoint that prevented the execution, if named.
 	AtFault id.Endpoint
 }
--- a/entry/direct/groups.go
+++ b/entry/direct/groups.go
@@ -223,6 +223,9 @@
 	if w == nil || e.State == nil {
 		return
 	}
+	if e.State.Leaving {
+		g.Service.MarkLeaving(e.Link.Endpoint().Name, 0, OwnResponse)
+	}
 	if e.State.Step != w.state.Step || e.State.Epoch != w.state.Epoch || e.State.Running+e.State.Waiting == 0 {
 		w.activeAt = now
 	}
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/siskinford/siskinford/balance/outlier"
@@ -40,7 +42,12 @@
 	names     []id.Endpoint
 	namesHash uint32
 	// replaced holds the endpoints whose address belongs to another instance now.
-	replaced          map[id.Endpoint]bool
+	replaced map[id.Endpoint]bool
+	// departures holds the endpoints that said that they are leaving, backoffs when those that
+	// asked for a pause accept requests again.
+	departures        map[id.Endpoint]departure
+	backoffs          map[id.Endpoint]time.Duration
+	set               *metrics.Set
 	dispatchScheduled bool
 	// peerLoadsAt is when loads of other entries last arrived.
 	peerLoadsAt time.Time
@@ -51,6 +58,7 @@
 		log: opt.Log, name: c.Name, start: time.Now(), peerLoadsAt: time.Now(), entries: opt.Entries, config: c,
 		detector: outlier.New(outlier.Config{}), window: retry.NewWindow(opt.Retries),
 		backends: make(map[id.Endpoint]*Backend), replaced: make(map[id.Endpoint]bool),
+		departures: make(map[id.Endpoint]departure), backoffs: make(map[id.Endpoint]time.Duration), set: opt.Metrics,
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
 	return s
@@ -99,21 +107,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range list {
-		e := b.Endpoint()
-		slots := e.Slots
-		if s.config.Engine != nil {
-			slots = s.config.Engine.Slots
-		}
-		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Slots: max(slots, 1), Usable: !e.Draining && !s.replaced[e.Name]})
-		backends[e.Name] = b
+		backends[b.Name] = b
 	}
+	s.backends, s.names = backends, nil
 	for name := range s.replaced {
 		if backends[name] == nil {
 			delete(s.replaced, name)
 		}
 	}
-	s.backends, s.names = backends, nil
+	s.pruneSignals()
+	for _, b := range list {
+		e := b.Endpoint()
+		slots := e.Slots
+		if s.config.Engine != nil {
+			slots = s.config.Engine.Slots
+		}
+		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Slots: max(slots, 1), Usable: s.isUsable(e)})
+	}
 	s.scheduler.SetEndpoints(endpoints)
+	for name, until := range s.backoffs {
+		s.scheduler.BackOff(name, until)
+	}
 	s.detector.Retain(func(name id.Endpoint) bool { return backends[name] != nil })
 	s.dispatch()
 }
@@ -124,10 +138,12 @@
 	Decision scheduler.Decision
 	// LoadsAge is the time since loads of other entries last arrived.
 	LoadsAge time.Duration
-	service  *Service
-	request  *scheduler.Request
-	started  time.Duration
-	answered bool
+	// registration is the revision of the endpoint's registration.
+	registration uint64
+	service      *Service
+	request      *scheduler.Request
+	started      time.Duration
+	answered     bool
 }
 
 // Acquire waits until the request may be sent to an endpoint. If the request has to wait,
@@ -169,7 +185,8 @@
 		return nil, scheduler.Decision{Reason: scheduler.NoEndpoint} // It was removed in the meantime.
 	}
 	return &Slot{
-		Backend: b, Decision: d, LoadsAge: time.Since(s.peerLoadsAt), service: s, request: &item.Request, started: s.now(),
+		Backend: b, Decision: d, LoadsAge: time.Since(s.peerLoadsAt), registration: b.Endpoint().RegistrationRevision,
+		service: s, request: &item.Request, started: s.now(),
 	}, d
 }
 
@@ -265,6 +282,11 @@
 // connection attempt.
 const unreachableDuration = time.Second
 
+// countSignal counts a signal of an endpoint.
+func (s *Service) countSignal(kind string) {
+	s.set.GetOrCreateCounter(fmt.Sprintf("siskinford_endpoint_signals_total{kind=%q,service=%q}", kind, string(s.name))).Inc()
+}
+
 // CountRequest counts a client request for the retry budget.
 func (s *Service) CountRequest() {
 	s.mu.Lock()
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	defer x.Close()
-	info, err := h.checkResponse(q, x)
+	info, err := h.checkResponse(q, slot, x)
 	if err != nil {
 		outcome = Failed
 		return nil, err
--- a/entry/edge/states.go
+++ b/entry/edge/states.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/direct"
 	"github.com/siskinford/siskinford/fleet/duty"
 	"github.com/siskinford/siskinford/fleet/mesh"
 )
@@ -18,6 +19,8 @@
 	Loads []byte `cbor:"1,keyasint,omitempty"`
 	// Claims holds the fencing tokens of the duties that the entry performs.
 	Claims map[duty.Name]uint64 `cbor:"2,keyasint,omitempty"`
+	// Leaving holds the endpoints that said so to the entry, with the revisions of their registrations.
+	Leaving map[id.Endpoint]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // summary is the payload sent to other cells: the combined state of the own cell.
@@ -26,6 +29,8 @@
 	Loads []byte `cbor:"1,keyasint,omitempty"`
 	// Claims holds the claims of the cell's members that have any, by lease holder.
 	Claims map[string]map[duty.Name]uint64 `cbor:"2,keyasint,omitempty"`
+	// Leaving holds the endpoints that said so to an entry of the cell.
+	Leaving map[id.Endpoint]uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -133,7 +138,7 @@
 	loads, err := e.loads.Encode()
 	if err == nil {
 		var b []byte
-		if b, err = cbor.Marshal(state{Loads: loads, Claims: e.groups.claimedEpochs()}); err == nil {
+		if b, err = cbor.Marshal(state{Loads: loads, Claims: e.groups.claimedEpochs(), Leaving: e.handler.Departures(direct.OwnResponse)}); err == nil {
 			return b
 		}
 	}
@@ -150,7 +155,7 @@
 			claims[holderName(e.self.Host, e.self.Incarnation)] = own
 		}
 		var b []byte
-		if b, err = cbor.Marshal(summary{Loads: loads, Claims: claims}); err == nil {
+		if b, err = cbor.Marshal(summary{Loads: loads, Claims: claims, Leaving: e.handler.Departures(direct.CellMember)}); err == nil {
 			return b
 		}
 	}
@@ -164,6 +169,7 @@
 	err := cbor.Unmarshal(data, &s)
 	if err == nil {
 		e.claims.record(holderName(m.Host, m.Incarnation), s.Claims)
+		e.handler.ApplyDepartures(s.Leaving, direct.CellMember)
 		err = e.loads.SetHostLoads(m.Host, s.Loads)
 	}
 	if err != nil {
@@ -179,6 +185,7 @@
 		for holder, epochs := range s.Claims {
 			e.claims.record(holder, epochs)
 		}
+		e.handler.ApplyDepartures(s.Leaving, direct.OtherCell)
 		err = e.loads.SetCellLoads(cell, s.Loads)
 	}
 	if err != nil {
--- a/wire/relay/messages.go
+++ b/wire/relay/messages.go
@@ -75,6 +75,8 @@
 	Running int `json:"running"`
 	// Slowdown is the step time relative to the usual one, one at full speed.
 	Slowdown float64 `json:"pace"`
+	// Leaving is true once the rank's answers say that it is about to leave.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Sample counts the tokens routed to the experts of a rank between two steps.
