mesh: a fetch that fails goes on to another member at once

Cause: an entry that was behind asked only the member with the highest version, one call of 400 ms at a time, and began again with the next exchange round. The connection of a fetch that timed out was not abandoned either. All members known to have more are sources; one without an answer after 100 ms is joined by the next, a failed one is tried last, and the attempts go on until no member has more, at delays of 100 ms to 2 s instead of rounds. value.fetched says have, offered, version and behind_for.

--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -191,9 +191,11 @@
 	// lastFailure is the time of the last failed call, failingSince that of the first
 	// one after the last success. Both are zero after a success.
 	lastFailure, failingSince time.Time
-	versions                  map[Topic]uint64
-	alive                     bool
-	callPending               bool
+	// fetchFailedAt is the time of the last failed fetch from it, zero for none.
+	fetchFailedAt time.Time
+	versions      map[Topic]uint64
+	alive         bool
+	callPending   bool
 	// watchesHealthy is true if its own watches of the platform work.
 	watchesHealthy bool
 }
--- a/fleet/mesh/topics.go
+++ b/fleet/mesh/topics.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,79 +87,3 @@
 	}
 	return false
 }
-
-// fetchNewer fetches topics of which an alive member has a greater version. A reader
-// first gives its own watch FetchDelay to return it.
-func (m *Mesh) fetchNewer(ctx context.Context, now time.Time) {
-	own := m.versions()
-	grace := m.cfg.FetchDelay
-	if !m.IsReader() {
-		grace = 0
-	}
-	ahead := make(map[Topic]string)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	best := make(map[Topic]uint64)
-	for _, p := range m.peers {
-		if now.Sub(p.lastSeen) >= m.aliveTimeout() {
-			continue
-		}
-		for topic, v := range p.versions {
-			if held, ok := own[topic]; ok && v > held && v > best[topic] {
-				ahead[topic], best[topic] = p.member.Address, v
-			}
-		}
-	}
-	for topic := range m.behindSince {
-		if ahead[topic] == "" {
-			delete(m.behindSince, topic)
-		}
-	}
-	for topic, address := range ahead {
-		since, ok := m.behindSince[topic]
-		if !ok {
-			m.behindSince[topic] = now
-			since = now
-		}
-		// An entry without any version fetches at once.
-		watched := topic == topicMembers || m.opt.Watched[topic]
-		if (watched && now.Sub(since) < grace && own[topic] != 0) || m.fetching[topic] {
-			continue
-		}
-		m.fetching[topic] = true
-		go m.fetchValue(ctx, topic, own[topic], address)
-	}
-}
-
-// fetchValue fetches a topic's newer value from a member and applies it.
-func (m *Mesh) fetchValue(ctx context.Context, topic Topic, have uint64, address string) {
-	defer func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.fetching, topic)
-	}()
-	ctx, cancel := context.WithTimeout(ctx, m.cfg.CallTimeout)
-	defer cancel()
-	v, err := m.requestValue(ctx, fetchRequest{Topic: topic, Have: have}, address)
-	log := m.opt.Log.Info().Err(err).Str("event", "value.fetched").Str("topic", string(topic)).Str("from", address)
-	log.Uint64("version", v.Version).Int("bytes", len(v.Data)).Msg("fetch of a newer version from another member")
-	if err == nil && v.Version > 0 {
-		m.applyValue(topic, v)
-	}
-}
-
-func (m *Mesh) requestValue(ctx context.Context, w fetchRequest, address string) (Value, error) {
-	payload, err := cbor.Marshal(message{Fetch: &w})
-	if err != nil {
-		return Value{}, err
-	}
-	reply, err := m.opt.Caller.Call(ctx, address, payload)
-	if err != nil {
-		return Value{}, err
-	}
-	var a response
-	if err := cbor.Unmarshal(reply, &a); err != nil {
-		return Value{}, err
-	}
-	return Value{Version: a.Version, Data: a.Data}, nil
-}
