mesh: newer versions are fetched when they are announced, and pairs of cells exchange once a round

Cause: an entry looked at the versions of others only when its next exchange round was due. Rounds keep within 9 KB/s, so with 60 entries they are 1.5 s apart, and a version crossed a cell border only after several of them: later than the 4 s in which a configuration must be in force. Both members of a pair of contacts called each other, although a call carries both summaries. Ruled out: a larger budget for the exchanges (it is a stated bound for each entry). Change: a hello with newer versions starts the fetch at once (a reader still waits 150 ms for its watch). The larger of two cells calls, which leaves each entry half of the calls and so half of the interval; a cell that is not heard of for the alive timeout is called as before. Measured: TestNewVersionSpreadsFasterThanRounds (60 entries, 5 zones, rounds over 2 s, bound 1 s) fails on the code before: entry 1 had nothing after 1 s.

--- a/fleet/mesh/exchange.go
+++ b/fleet/mesh/exchange.go
@@ -71,7 +71,6 @@
 		for _, address := range round.seeds {
 			go m.callSeed(ctx, address, round)
 		}
-		m.fetchNewer(ctx, time.Now())
 		urgent = m.waitRound(ctx, m.Interval())
 	}
 }
@@ -133,8 +132,13 @@
 		r.targets = append(r.targets, p)
 	}
 	for _, host := range l.contacts(self, func(h id.Host) bool { return now.Sub(m.peers[h].lastFailure) > contactRetryDelay }) {
-		exchanges++
-		if p := m.peers[host]; !p.callPending {
+		cell := l.cellByHost[host]
+		own := l.initiatesCell(l.cellByHost[self], cell)
+		if own {
+			exchanges++
+		}
+		silent := now.Sub(m.summaryAt[cell]) > m.aliveTimeout()
+		if p := m.peers[host]; !p.callPending && (own || silent || urgent) {
 			r.targets = append(r.targets, p)
 		}
 	}
@@ -153,6 +157,15 @@
 	return r
 }
 
+// initiatesCell reports whether the members of a cell call their contacts in another one or
+// wait for their calls. The larger cell calls, so that each member of the other one is called.
+func (l layout) initiatesCell(own, other string) bool {
+	if a, b := len(l.hostsByCell[own]), len(l.hostsByCell[other]); a != b {
+		return a > b
+	}
+	return initiates(id.Host(own), id.Host(other))
+}
+
 // initiates reports whether self calls other or waits for its call. Each member calls
 // about half of its cell.
 func initiates(self, other id.Host) bool {
@@ -299,8 +312,12 @@
 		m.opt.Log.Info().Str("event", "member.alive").Str("member", string(h.Host)).Msg("member responds")
 	}
 	p.lastSeen, p.versions, p.watchesHealthy = now, h.Versions, h.WatchesHealthy
+	if h.Cell != "" {
+		m.summaryAt[h.Cell] = now
+	}
 	member := p.member
 	m.mu.Unlock()
+	m.signalNewer()
 	if h.Cell != "" {
 		m.opt.OnSummary(h.Cell, h.Summary)
 		return
--- a/fleet/mesh/fetch.go
+++ b/fleet/mesh/fetch.go
@@ -17,6 +17,8 @@
 	// fetchHedgeDelay is the time after which a fetch without an answer is also sent to the
 	// next source. A round trip between zones takes a few milliseconds.
 	fetchHedgeDelay = 100 * time.Millisecond
+	// minFetchInterval is the minimum time between two looks for newer versions.
+	minFetchInterval = 5 * time.Millisecond
 	// fetchRetryMin and fetchRetryMax bound the delay between attempts, which doubles while
 	// none succeeds.
 	fetchRetryMin = 100 * time.Millisecond
@@ -51,9 +53,33 @@
 	return out
 }
 
+// signalNewer makes runFetches look for newer versions. It does not block.
+func (m *Mesh) signalNewer() {
+	select {
+	case m.newer <- struct{}{}:
+	default:
+	}
+}
+
+// runFetches fetches newer versions as soon as a member announces them, until ctx ends. In
+// a large fleet the next exchange round may be seconds away.
+func (m *Mesh) runFetches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.newer:
+		}
+		if m.fetchNewer(ctx, time.Now()) {
+			time.AfterFunc(m.cfg.FetchDelay, m.signalNewer)
+		}
+		sleep(ctx, minFetchInterval)
+	}
+}
+
 // fetchNewer starts to fetch the topics of which an alive member has a greater version. A
-// reader first gives its own watch FetchDelay to return it.
-func (m *Mesh) fetchNewer(ctx context.Context, now time.Time) {
+// reader first gives its own watch FetchDelay to return it; fetchNewer reports whether it does.
+func (m *Mesh) fetchNewer(ctx context.Context, now time.Time) (deferred bool) {
 	own := m.versions()
 	grace := m.cfg.FetchDelay
 	if !m.IsReader() {
@@ -73,12 +99,17 @@
 		}
 		// An entry without any version fetches at once.
 		watched := topic == topicMembers || m.opt.Watched[topic]
-		if (watched && now.Sub(since) < grace && have != 0) || m.fetching[topic] {
+		if watched && now.Sub(since) < grace && have != 0 {
+			deferred = true
+			continue
+		}
+		if m.fetching[topic] {
 			continue
 		}
 		m.fetching[topic] = true
 		go m.catchUp(ctx, topic, since)
 	}
+	return deferred
 }
 
 // catchUp fetches a topic until no alive member is known to have a greater version. The time
--- a/fleet/mesh/fetch_test.go
+++ b/fleet/mesh/fetch_test.go
@@ -108,3 +108,29 @@
 		stopAll(nodes)
 	})
 }
+
+// maxSpread is the time within which all entries of a large fleet have a new version. It leaves
+// half of the default time within which a configuration must be in force to the readers' watches.
+const maxSpread = time.Second
+
+// TestNewVersionSpreadsFasterThanRounds guards against entries that learn of a newer version and
+// fetch it only with their next exchange round, which adds up over the cells of a large fleet.
+func TestNewVersionSpreadsFasterThanRounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.cfg.BytesPerSecond = 300
+		var nodes []*node
+		for i := range 60 {
+			nodes = append(nodes, f.startIn(id.Zone(fmt.Sprintf("z%d", i%5)), fmt.Sprintf("h%d", i), "1"))
+		}
+		time.Sleep(60 * time.Second)
+		assert.Assert(t, nodes[0].mesh.Interval() > 2*time.Second, "%v", nodes[0].mesh.Interval())
+		nodes[7].set(Value{Version: 9, Data: []byte("nine")})
+		nodes[7].mesh.NotifyChange()
+		time.Sleep(maxSpread)
+		for i, n := range nodes {
+			assert.Equal(t, n.get().Version, uint64(9), "entry %d", i)
+		}
+		stopAll(nodes)
+	})
+}
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -152,7 +152,7 @@
 	opt Options
 	cfg Config
 
-	mu    sync.Mutex // leaf lock; guards the fields below except wake
+	mu    sync.Mutex // leaf lock; guards the fields below except the channels
 	peers map[id.Host]*peer
 	// registeredRevision is that of the own registration, zero if unknown or absent.
 	registeredRevision uint64
@@ -172,7 +172,10 @@
 	// roundBytes is the moving average of the bytes exchanged in a round.
 	roundBytes float64
 
-	wake chan struct{}
+	// summaryAt is when a summary of another cell last arrived.
+	summaryAt map[string]time.Time
+
+	wake, newer chan struct{}
 }
 
 // registration is a member with the revision of its platform object.
@@ -208,7 +211,8 @@
 	return &Mesh{
 		opt: o, cfg: o.Config.withDefaults(),
 		peers: make(map[id.Host]*peer), fetching: make(map[Topic]bool), behindSince: make(map[Topic]time.Time),
-		layout: newLayout([]Member{o.Self}), wake: make(chan struct{}, 1),
+		layout: newLayout([]Member{o.Self}), summaryAt: make(map[string]time.Time),
+		wake: make(chan struct{}, 1), newer: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -217,6 +221,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { m.maintainRegistration(ctx) })
 	wg.Go(func() { m.runExchanges(ctx) })
+	wg.Go(func() { m.runFetches(ctx) })
 	wg.Wait()
 	m.unregister()
 }
--- a/fleet/mesh/mesh_test.go
+++ b/fleet/mesh/mesh_test.go
@@ -77,7 +77,10 @@
 		Versions:   func() map[Topic]uint64 { return map[Topic]uint64{topic: n.get().Version} },
 		Watched:    map[Topic]bool{topic: true},
 		ValueSince: func(Topic, uint64) Value { return n.get() },
-		ApplyValue: func(_ Topic, v Value) { n.set(v) },
+		ApplyValue: func(_ Topic, v Value) {
+			n.set(v)
+			n.mesh.NotifyChange()
+		},
 		LocalState: func() []byte { return []byte("state of " + host) },
 		CellSummary: func(of func(id.Host) bool) []byte {
 			n.mu.Lock()
