Entries of a large fleet prefer their share of the endpoints, and loads are exchanged in less bytes

Cause: with 60 entries the exchange interval is 1.6 s (9 KB/s for each entry), each load message holds two bytes for all endpoints, and loads of entries whose lists of endpoints differ are ignored, as always during a rollout. All entries then send to the endpoints that were the least loaded ones a second ago. Change: in a fleet of more than 8 entries, each endpoint belongs to the share of one entry (with fewer endpoints than entries, several have the same). Others cost 4 requests more, and three of them, drawn at random, are considered. Loads are sent as name hash and counts of the endpoints that have requests, 4 bytes each, and no longer depend on equal lists; they count for three intervals at least. Processes of the version before ignore the new loads and theirs are ignored, without errors. A fleet of several cells has one reader a cell; its contacts announce versions too.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -56,22 +56,34 @@
 func (s *Scheduler) leastCost(r *Request, now time.Duration) *endpoint {
 	var best *endpoint
 	var least float64
-	offset := 0
-	if len(s.endpoints) > 0 {
-		offset = s.rng.IntN(len(s.endpoints))
-	}
-	for i := range s.endpoints {
-		e := s.endpoints[(i+offset)%len(s.endpoints)]
+	consider := func(e *endpoint) bool {
 		if !e.accepts(now) || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
-			continue
+			return false
 		}
-		running := e.ownLoad.Running + e.peerLoad.Running
-		if running >= e.Slots+s.cfg.Overcommit {
-			continue
+		if e.ownLoad.Running+e.peerLoad.Running >= e.Slots+s.cfg.Overcommit {
+			return false
 		}
 		if cost := s.cost(e, now); best == nil || cost < least {
 			best, least = e, cost
 		}
+		return true
+	}
+	if n := len(s.preferred); n > 0 {
+		first := s.rng.IntN(n)
+		for i := range n {
+			consider(s.preferred[(first+i)%n])
+		}
+	}
+	considered := 0
+	for i := range s.others {
+		j := i + s.rng.IntN(len(s.others)-i)
+		s.others[i], s.others[j] = s.others[j], s.others[i]
+		if consider(s.others[i]) {
+			considered++
+		}
+		if considered == s.cfg.Choices && len(s.preferred) > 0 {
+			break
+		}
 	}
 	return best
 }
@@ -82,7 +94,11 @@
 func (s *Scheduler) cost(e *endpoint, now time.Duration) float64 {
 	running := float64(e.ownLoad.Running + e.peerLoad.Running)
 	prompt := float64(e.ownLoad.PromptTokens + e.peerLoad.PromptTokens)
-	cost := (s.cfg.StepOverhead + running + 1 + prompt/s.cfg.PromptTokensPerRequest) * e.slowdown / float64(max(e.Slots, 1))
+	requests := s.cfg.StepOverhead + running + 1 + prompt/s.cfg.PromptTokensPerRequest
+	if !e.Preferred && len(s.preferred) > 0 {
+		requests += s.cfg.Affinity
+	}
+	cost := requests * e.slowdown / float64(max(e.Slots, 1))
 	if e.suspectUntil > now {
 		cost += suspectCost
 	}
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -14,7 +14,9 @@
 	cfg       Config
 	rng       *rand.Rand
 	endpoints []*endpoint
-	byName    map[id.Endpoint]*endpoint
+	// preferred and others are the endpoints by Endpoint.Preferred, others in random order.
+	preferred, others []*endpoint
+	byName            map[id.Endpoint]*endpoint
 
 	waiting []*Item // by sortKey
 	// firstEventLatency and requestDuration estimate the times from the start of a
@@ -82,10 +84,30 @@
 		next[e.Name] = old
 		s.endpoints = append(s.endpoints, old)
 	}
+	s.groupByPreference()
 	s.byName = next
 	s.removeUnusedBreakers()
 }
 
+// SetPreferred sets which endpoints are the entry's share.
+func (s *Scheduler) SetPreferred(preferred func(id.Endpoint) bool) {
+	for _, e := range s.endpoints {
+		e.Preferred = preferred(e.Name)
+	}
+	s.groupByPreference()
+}
+
+func (s *Scheduler) groupByPreference() {
+	s.preferred, s.others = s.preferred[:0], s.others[:0]
+	for _, e := range s.endpoints {
+		if e.Preferred {
+			s.preferred = append(s.preferred, e)
+		} else {
+			s.others = append(s.others, e)
+		}
+	}
+}
+
 // SetPeerLoad sets the load of other entries' requests at an endpoint.
 func (s *Scheduler) SetPeerLoad(name id.Endpoint, l Load) {
 	if e := s.byName[name]; e != nil {
--- a/balance/scheduler/types.go
+++ b/balance/scheduler/types.go
@@ -40,6 +40,13 @@
 	// StepOverhead is the fixed cost of an endpoint's step, as a number of running
 	// requests. An endpoint's slowdown multiplies it. Default: 0.
 	StepOverhead float64
+	// Affinity is the additional cost of an endpoint that is not preferred, as a number of
+	// running requests. It has no effect without preferred endpoints. Default: 4.
+	Affinity float64
+	// Choices is the number of endpoints that are not preferred that a request may choose
+	// from, drawn at random per request. Entries with the same late knowledge would all
+	// choose the same least loaded one. It has no effect without preferred endpoints. Default: 3.
+	Choices int
 	// MaxUtilization bounds the requests at all endpoints together, as a fraction of
 	// their slots. Default: 1.
 	MaxUtilization float64
@@ -52,10 +59,12 @@
 	setDefault(&c.OutageDuration, 5500*time.Millisecond)
 	setDefault(&c.PromptTokensPerRequest, 200)
 	setDefault(&c.MaxUtilization, 1)
+	setDefault(&c.Affinity, 4)
+	setDefault(&c.Choices, 3)
 	return c
 }
 
-func setDefault[T float64 | time.Duration](p *T, v T) {
+func setDefault[T int | float64 | time.Duration](p *T, v T) {
 	if *p == 0 {
 		*p = v
 	}
@@ -68,6 +77,9 @@
 	Slots int
 	// Usable is false for endpoints that are being removed.
 	Usable bool
+	// Preferred is true for the entry's share of the endpoints, in a fleet whose entries know
+	// each other's requests too late to share all of them.
+	Preferred bool
 }
 
 // Load is the load of requests at an endpoint.
--- a/entry/direct/loads.go
+++ b/entry/direct/loads.go
@@ -13,40 +13,75 @@
 	"github.com/siskinford/siskinford/core/id"
 )
 
-// promptUnitTokens is the resolution of prompt tokens between entries, so that a byte
-// holds the prompts that an endpoint reads concurrently.
-const promptUnitTokens = 64
-
-// peerLoadTTL is the time for which received loads count, several exchange intervals.
-const peerLoadTTL = 2 * time.Second
+// promptUnitTokens is the resolution of prompt tokens between entries.
+const promptUnitTokens = 128
+
+// maxCount is the largest count that fits in half a byte.
+const maxCount = 15
+
+// endpointLoadBytes is the size of an encoded load: a hash of the endpoint's name, and a byte
+// that holds the running requests in its upper half and the units of prompt tokens in its lower.
+// Names are unique within a service except for one in many thousand pairs, whose loads add up.
+const (
+	nameHashBytes     = 3
+	endpointLoadBytes = nameHashBytes + 1
+)
 
-// serviceLoads are the requests at the endpoints of one service, in order of their names.
-// Endpoints is the hash of the names; entries with other endpoints have another one.
+// serviceLoads are the requests at the endpoints of one service that have any. They do not
+// depend on the list of endpoints, which may differ between entries.
 type serviceLoads struct {
-	Endpoints uint32 `cbor:"1,keyasint"`
-	Running   []byte `cbor:"2,keyasint"`
-	Prompts   []byte `cbor:"3,keyasint"`
+	// Loads has endpointLoadBytes for each endpoint with requests. The keys 1 to 3 were used by
+	// a former encoding.
+	Loads []byte `cbor:"4,keyasint"`
+}
+
+// loadsByHash are loads by the hash of the endpoint's name.
+type loadsByHash map[uint32]scheduler.Load
+
+func (l loadsByHash) add(hash uint32, load scheduler.Load) {
+	sum := l[hash]
+	sum.Running += load.Running
+	sum.PromptTokens += load.PromptTokens
+	l[hash] = sum
 }
 
-// add adds loads of the same endpoints.
-func (l *serviceLoads) add(o serviceLoads) {
-	for i := range l.Running {
-		l.Running[i] = byte(min(int(l.Running[i])+int(o.Running[i]), maxCount))
-		l.Prompts[i] = byte(min(int(l.Prompts[i])+int(o.Prompts[i]), maxCount))
+// encode returns the loads for other entries.
+func (l loadsByHash) encode() serviceLoads {
+	b := make([]byte, 0, endpointLoadBytes*len(l))
+	for hash, load := range l {
+		prompts := (load.PromptTokens + promptUnitTokens - 1) / promptUnitTokens
+		b = append(b, byte(hash>>16), byte(hash>>8), byte(hash), byte(min(load.Running, maxCount)<<4|min(prompts, maxCount)))
 	}
+	return serviceLoads{Loads: b}
 }
 
-// matches reports whether the loads belong to the endpoints with a hash.
-func (l *serviceLoads) matches(hash uint32, endpoints int) bool {
-	return l.Endpoints == hash && len(l.Running) == endpoints && len(l.Prompts) == endpoints
+// addTo adds received loads to l. An incomplete load at the end is ignored.
+func (s serviceLoads) addTo(l loadsByHash) {
+	for b := s.Loads; len(b) >= endpointLoadBytes; b = b[endpointLoadBytes:] {
+		hash := uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2])
+		l.add(hash, scheduler.Load{Running: int(b[3] >> 4), PromptTokens: int(b[3]&maxCount) * promptUnitTokens})
+	}
 }
 
-// maxCount is the largest count that fits in a byte.
-const maxCount = 255
+// nameHash returns the hash of an endpoint's name for encoded loads.
+func nameHash(name id.Endpoint) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // Never fails.
+	sum := h.Sum32()
+	return (sum>>24 ^ sum) & (1<<(8*nameHashBytes) - 1)
+}
+
+const (
+	// peerLoadTTL is the time for which received loads count, at least peerLoadExchanges
+	// intervals between exchanges.
+	peerLoadTTL       = 2 * time.Second
+	peerLoadExchanges = 3
+)
 
 // LoadExchange shares endpoint loads between entries. It is safe for concurrent use.
 type LoadExchange struct {
-	handler *Handler
+	handler  *Handler
+	interval func() time.Duration
 
 	mu      sync.Mutex // locked before Service.mu
 	sources map[loadSource]sourceLoads
@@ -65,9 +100,10 @@
 	services map[id.Service]serviceLoads
 }
 
-// NewLoadExchange returns the load exchange of a handler's services.
-func NewLoadExchange(h *Handler) *LoadExchange {
-	return &LoadExchange{handler: h, sources: make(map[loadSource]sourceLoads)}
+// NewLoadExchange returns the load exchange of a handler's services. Interval returns the time
+// between exchanges.
+func NewLoadExchange(h *Handler, interval func() time.Duration) *LoadExchange {
+	return &LoadExchange{handler: h, interval: interval, sources: make(map[loadSource]sourceLoads)}
 }
 
 // Encode returns the loads that this entry causes.
@@ -81,35 +117,31 @@
 	defer l.mu.Unlock()
 	out := make(map[id.Service]serviceLoads)
 	for name, s := range l.handler.Services() {
-		own, busy := s.encodeLoads()
+		sum := s.ownLoads()
 		for from, x := range l.sources {
-			sl, ok := x.services[name]
-			if ok && from.host != "" && of(from.host) && sl.matches(own.Endpoints, len(own.Running)) {
-				own.add(sl)
-				busy = true
+			if from.host != "" && of(from.host) {
+				x.services[name].addTo(sum)
 			}
 		}
-		if busy {
-			out[name] = own
+		if len(sum) > 0 {
+			out[name] = sum.encode()
 		}
 	}
 	return cbor.Marshal(out)
 }
 
-// encodeLoads returns the loads that this entry causes, and whether there are any.
-func (s *Service) encodeLoads() (serviceLoads, bool) {
-	names, hash := s.endpointNames()
+// ownLoads returns the loads that this entry causes.
+func (s *Service) ownLoads() loadsByHash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sl := serviceLoads{Endpoints: hash, Running: make([]byte, len(names)), Prompts: make([]byte, len(names))}
-	busy := false
+	names, hashes := s.endpointNamesLocked()
+	out := make(loadsByHash)
 	for i, name := range names {
-		load := s.scheduler.OwnLoad(name)
-		sl.Running[i] = byte(min(load.Running, maxCount))
-		sl.Prompts[i] = byte(min((load.PromptTokens+promptUnitTokens-1)/promptUnitTokens, maxCount))
-		busy = busy || load.Running > 0
+		if load := s.scheduler.OwnLoad(name); load.Running > 0 {
+			out.add(hashes[i], load)
+		}
 	}
-	return sl, busy
+	return out
 }
 
 // SetHostLoads replaces the loads of another entry by what its Encode returned.
@@ -136,10 +168,11 @@
 
 // ApplyPending drops expired loads and passes changed sums to the services, on a timer.
 func (l *LoadExchange) ApplyPending() {
+	ttl := max(peerLoadTTL, peerLoadExchanges*l.interval())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for from, x := range l.sources {
-		if time.Since(x.at) > peerLoadTTL {
+		if time.Since(x.at) > ttl {
 			delete(l.sources, from)
 			l.dirty = true
 		}
@@ -153,42 +186,27 @@
 // applyLocked passes the sums to the services. The caller holds mu.
 func (l *LoadExchange) applyLocked() {
 	for name, s := range l.handler.Services() {
-		names, hash := s.endpointNames()
-		sums := make([]scheduler.Load, len(names))
+		sum := make(loadsByHash)
 		var latest time.Time
 		for _, x := range l.sources {
 			if x.at.After(latest) {
 				latest = x.at
 			}
-			sl, ok := x.services[name]
-			if !ok || !sl.matches(hash, len(names)) {
-				continue
-			}
-			for i := range names {
-				sums[i].Running += int(sl.Running[i])
-				sums[i].PromptTokens += int(sl.Prompts[i]) * promptUnitTokens
-			}
+			x.services[name].addTo(sum)
 		}
-		s.SetPeerLoads(names, sums, latest)
+		s.setPeerLoads(sum, latest)
 	}
 }
 
-// endpointNames returns the sorted endpoint names of the service and their hash.
-func (s *Service) endpointNames() ([]id.Endpoint, uint32) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// endpointNamesLocked returns the sorted endpoint names of the service and their hashes. The
+// caller holds mu.
+func (s *Service) endpointNamesLocked() ([]id.Endpoint, []uint32) {
 	if s.names == nil {
 		s.names = slices.Sorted(maps.Keys(s.backends))
-		s.namesHash = hashNames(s.names)
-	}
-	return s.names, s.namesHash
-}
-
-func hashNames(names []id.Endpoint) uint32 {
-	h := fnv.New32a()
-	for _, n := range names {
-		_, _ = h.Write([]byte(n)) // Never fails.
-		_, _ = h.Write([]byte{0})
+		s.nameHashes = make([]uint32, len(s.names))
+		for i, name := range s.names {
+			s.nameHashes[i] = nameHash(name)
+		}
 	}
-	return h.Sum32()
+	return s.names, s.nameHashes
 }
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -38,16 +38,18 @@
 	detector  *outlier.Detector
 	window    *retry.Window
 	backends  map[id.Endpoint]*Backend
-	// names are the sorted endpoint names and namesHash their hash, computed on demand.
-	names     []id.Endpoint
-	namesHash uint32
+	// names are the sorted endpoint names and nameHashes their hashes, computed on demand.
+	names      []id.Endpoint
+	nameHashes []uint32
 	// replaced holds the endpoints whose address belongs to another instance now.
 	replaced map[id.Endpoint]bool
 	// departures holds the endpoints that said that they are leaving, backoffs when those that
 	// asked for a pause accept requests again.
-	departures        map[id.Endpoint]departure
-	backoffs          map[id.Endpoint]time.Duration
-	set               *metrics.Set
+	departures map[id.Endpoint]departure
+	backoffs   map[id.Endpoint]time.Duration
+	set        *metrics.Set
+	// place is the entry's position among placeCount entries; both are zero in a small fleet.
+	place, placeCount int
 	dispatchScheduled bool
 	// peerLoadsAt is when loads of other entries last arrived.
 	peerLoadsAt time.Time
@@ -125,6 +127,7 @@
 		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Slots: max(slots, 1), Usable: s.isUsable(e)})
 	}
 	s.scheduler.SetEndpoints(endpoints)
+	s.applyShare()
 	for name, until := range s.backoffs {
 		s.scheduler.BackOff(name, until)
 	}
@@ -372,15 +375,16 @@
 	return down
 }
 
-// SetPeerLoads replaces the loads that other entries cause at the endpoints.
-func (s *Service) SetPeerLoads(names []id.Endpoint, loads []scheduler.Load, receivedAt time.Time) {
+// setPeerLoads replaces the loads that other entries cause at the endpoints.
+func (s *Service) setPeerLoads(loads loadsByHash, receivedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if receivedAt.After(s.peerLoadsAt) {
 		s.peerLoadsAt = receivedAt
 	}
+	names, hashes := s.endpointNamesLocked()
 	for i, name := range names {
-		s.scheduler.SetPeerLoad(name, loads[i])
+		s.scheduler.SetPeerLoad(name, loads[hashes[i]])
 	}
 	s.dispatch()
 }
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -158,7 +158,7 @@
 	}
 	s := e.handler.Service("s")
 	for range 50 {
-		if _, busy := s.encodeLoads(); !busy {
+		if len(s.ownLoads()) == 0 {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -148,7 +148,7 @@
 	memberWatchWait = 20 * time.Second
 	// storeCallTimeout bounds a call to the platform, which normally takes milliseconds.
 	storeCallTimeout = time.Second
-	// sweepInterval is the time between scans for idle connections.
+	// sweepInterval is the time between scans for idle connections and for changes of the fleet.
 	sweepInterval = 500 * time.Millisecond
 	// readyIdleTimeout is the idle timeout for readiness checks, which arrive every second.
 	readyIdleTimeout = 30 * time.Second
@@ -188,7 +188,7 @@
 	e.handler = direct.NewHandler(direct.Options{
 		Codec: a.Codec, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
 	})
-	e.loads = direct.NewLoadExchange(e.handler)
+	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
 	e.watchers = e.newWatchers()
 	e.groups = groupManager{edge: e, services: make(map[id.Service]*groupedService)}
@@ -330,6 +330,7 @@
 			return
 		case now := <-t.C:
 			e.handler.Directory().CloseExpired(now)
+			e.handler.SetEntries(e.mesh.Hosts(), e.cfg.Host)
 			e.clients.sweep(now)
 		}
 	}
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -62,8 +62,9 @@
 	// AliveTimeout is the time after the last exchange for which a member counts as
 	// alive, at least aliveIntervals exchange intervals. Default: 1.2 s.
 	AliveTimeout time.Duration
-	// Readers is the number of members per cell and zone that watch the platform.
-	// Default: 2.
+	// Readers is the number of members per cell and zone that watch the platform. In a fleet
+	// of several cells one of them suffices, as the contacts in other cells announce new
+	// versions too. Default: 2.
 	Readers int
 	// FetchDelay is the time that a reader waits for its own watch to return a newer
 	// version before it fetches it from a member. Default: 150 ms.
--- a/fleet/mesh/topics.go
+++ b/fleet/mesh/topics.go
@@ -80,7 +80,11 @@
 	if !others {
 		return true
 	}
-	for _, h := range selectReaders(hosts, m.cfg.Readers) {
+	readers := m.cfg.Readers
+	if len(l.cellNames) > 1 {
+		readers = 1
+	}
+	for _, h := range selectReaders(hosts, readers) {
 		if h == self.Host {
 			return true
 		}
