A silent attempt is ended only if it can be repeated

Cause: the watchdog of streams, and the time limit of buffered attempts, ended an attempt that was silent for a while in order to repeat it elsewhere, and only then asked whether an attempt and a retry were left. Change: the retry is taken from the budget before the attempt is ended, and used by the repetition. The last attempt is never ended for its silence. The watchdog's timer was read by its own goroutine without a lock; found by the race detector in the new test. Measured: TestSilentStreamIsNotCutWithoutRetry fails in both of its first cases on the code before (unexpected EOF).

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -59,9 +59,15 @@
 	outcome := Neutral
 	defer func() { slot.Release(outcome) }()
 	if limit, ok := q.attemptTimeout(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, time.Now().Add(limit), errAttemptTimeout)
-		defer cancel()
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		timer := time.AfterFunc(limit, func() {
+			if q.reserveRetry() {
+				cancel(errAttemptTimeout)
+			}
+		})
+		defer timer.Stop()
 	}
 	x, err := h.send(ctx, q, slot, "")
 	if err != nil {
@@ -101,7 +107,7 @@
 // attemptTimeout returns the attempt's timeout, false if only the request's deadline
 // applies.
 func (q *request) attemptTimeout() (time.Duration, bool) {
-	if !q.route.Retryable() || q.sent+1 >= q.route.MaxAttempts || q.route.TargetLatency <= 0 {
+	if !q.mayRepeatNext() || q.route.TargetLatency <= 0 {
 		return 0, false
 	}
 	limit := attemptTimeoutTargets * q.route.TargetLatency
@@ -176,13 +182,35 @@
 // breaker to close, if few requests wait.
 const maxGroupDownRetries = 8
 
+// mayRepeatNext reports whether the next attempt may be repeated at another endpoint even if it
+// was executed, apart from the budget.
+func (q *request) mayRepeatNext() bool {
+	return q.route.Retryable() && q.sent+1-q.groupDownRefusals < q.route.MaxAttempts
+}
+
+// reserveRetry takes a retry from the budget before a silent attempt is ended, and reports
+// whether there was one. Silence alone is no reason to end an attempt that cannot be repeated.
+// It may be called by another goroutine while the attempt runs.
+func (q *request) reserveRetry() bool {
+	if !q.service.AcquireRetry() {
+		return false
+	}
+	q.retryReserved.Store(true)
+	return true
+}
+
+// takeRetry takes a retry that was reserved, or one from the budget.
+func (q *request) takeRetry() bool {
+	return q.retryReserved.Swap(false) || q.service.AcquireRetry()
+}
+
 // acquireRetry reports whether to retry the request after an attempt. It takes the retry
 // from the budget, unless nothing was sent.
 func (h *Handler) acquireRetry(q *request, slot *Slot, resp *response, err error) bool {
 	h.recordRefusal(q, slot, resp)
 	why := q.retryReason(resp, err)
 	var notSent *upstream.NotSentError
-	if why == "" || (!errors.As(err, &notSent) && !q.service.AcquireRetry()) {
+	if why == "" || (!errors.As(err, &notSent) && !q.takeRetry()) {
 		return false
 	}
 	if !resp.groupDown() {
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -136,6 +136,8 @@
 	groupDownRefusals int
 	// mayHaveRun is true after an attempt that may have been executed.
 	mayHaveRun bool
+	// retryReserved is true while a retry was taken from the budget and not yet used.
+	retryReserved atomic.Bool
 	// excluded lists the endpoints that must not be tried again.
 	excluded []id.Endpoint
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,7 +102,7 @@
 	defer func() { slot.Release(outcome) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := newSilenceWatchdog(q.service, silenceTimeoutsOf(q.route), cancel)
+	watchdog := newSilenceWatchdog(q, cancel)
 	defer watchdog.stop()
 	x, err := h.send(ctx, q, slot, s.lastEventID)
 	if err != nil {
@@ -206,25 +207,34 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-// silenceWatchdog cancels an attempt whose stream is silent while others are active.
+// silenceWatchdog cancels an attempt whose stream is silent while others are active, if it may
+// be resumed at another endpoint.
 type silenceWatchdog struct {
-	service  *Service
-	timeouts silenceTimeouts
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
+	request *request
+	// mayRepeat is false if the attempt is the last one.
+	mayRepeat bool
+	timeouts  silenceTimeouts
+	cancel    context.CancelCauseFunc
+
+	mu    sync.Mutex // guards timer until it is set
+	timer *time.Timer
 }
 
-func newSilenceWatchdog(s *Service, timeouts silenceTimeouts, cancel context.CancelCauseFunc) *silenceWatchdog {
-	w := &silenceWatchdog{service: s, timeouts: timeouts, cancel: cancel}
-	w.timer = time.AfterFunc(timeouts.first, w.expire)
+func newSilenceWatchdog(q *request, cancel context.CancelCauseFunc) *silenceWatchdog {
+	w := &silenceWatchdog{request: q, mayRepeat: q.mayRepeatNext(), timeouts: silenceTimeoutsOf(q.route), cancel: cancel}
+	w.mu.Lock() // expire uses timer.
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.timeouts.first, w.expire)
 	return w
 }
 
 func (w *silenceWatchdog) expire() {
-	if w.service.SinceLastEvent() <= w.timeouts.othersActive {
+	if w.mayRepeat && w.request.service.SinceLastEvent() <= w.timeouts.othersActive && w.request.reserveRetry() {
 		w.cancel(errStreamSilent)
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer.Reset(w.timeouts.othersActive)
 }
 
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -108,6 +108,49 @@
 	assert.Equal(t, (<-other).body, wantEvents(1, 9))
 }
 
+// TestSilentStreamIsNotCutWithoutRetry guards against streams that the entry cuts for their
+// silence although it cannot resume them: with no attempt or no retry left they may still go on.
+func TestSilentStreamIsNotCutWithoutRetry(t *testing.T) {
+	pausing := func(_ int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Request", r.Header.Get("Request"))
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = w.Write([]byte(wantEvents(1, 2)))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(1200 * time.Millisecond):
+			_, _ = w.Write([]byte(wantEvents(3, 4)))
+		case <-r.Context().Done():
+		}
+	}
+	late := func(n int, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		events(4, 0, 0)(n, w, r)
+	}
+	oneAttempt := stream
+	oneAttempt.MaxAttempts = 1
+	for name, c := range map[string]struct {
+		route   routes.Route
+		script  script
+		prepare func(*Service)
+	}{
+		"no attempt left":                   {oneAttempt, pausing, func(*Service) {}},
+		"no attempt left for a late stream": {oneAttempt, late, func(*Service) {}},
+		"no retry left":                     {stream, pausing, func(s *Service) { s.window = noRetries() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", c.script), newBackend(t, "b", events(9, 0, 200*time.Millisecond))
+			e := newEntry(t, c.route, a, b)
+			c.prepare(e.handler.Service("s"))
+			other := startAt(e, "b", "a") // Keeps the service active.
+			got := e.send(http.MethodPost)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wantEvents(1, 4))
+			assert.NilError(t, (<-other).err)
+		})
+	}
+}
+
 // TestSlowStreamIsNotSilent checks that timeouts scale with the route: a late first event
 // or a pause that is an outage elsewhere is normal for slow engines.
 func TestSlowStreamIsNotSilent(t *testing.T) {
