Soak: endpoints that leave say so in their answers, and refusals ask for a pause

Cause: the soak knew leaving by the platform's list only and refusals without Retry-After. Change: a plain stand-in that leaves says so in all its answers, one that refuses asks for 1.5 s without requests. The soak checks, from what endpoints see and with the platform in touch or not: no request that a client sent later than the drain bound after the first answer that said so, and at most two requests from an entry between 0.5 s after such a refusal and the end of the pause.

--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -15,7 +15,7 @@
 const (
 	// Normal runs the request and answers it.
 	Normal Behavior = iota
-	// Refuse rejects the request without running it.
+	// Refuse rejects the request without running it, and asks for RefusalPause.
 	Refuse
 	// LoseAnswer runs the request and closes the connection without an answer.
 	LoseAnswer
@@ -60,4 +60,11 @@
 	// Team is the team that the entry named.
 	Team id.Team
 	At   time.Time
+	// Pause is the time for which the back end then asks the host for no more requests.
+	Pause time.Duration
+	// Leaving is true if the back end's answers say that it is leaving.
+	Leaving bool
 }
+
+// RefusalPause is the time for which a back end with the behavior Refuse wants no requests.
+const RefusalPause = 1500 * time.Millisecond
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/siskinford/siskinford/core/id"
 )
 
 // Time bounds and budgets of the promises, which follow from the site's settings.
@@ -21,6 +23,10 @@
 	faultyRollbackTolerance = 2 * time.Second
 	// drainBound is the time after which a leaving endpoint must get no new requests.
 	drainBound = 2 * time.Second
+	// pauseReaction is the time after an answer that asks for a pause in which requests may still
+	// arrive, and maxInPause the number of requests that may arrive in the rest of the pause.
+	pauseReaction = 500 * time.Millisecond
+	maxInPause    = 2
 	// answerTolerance is the time past a request's timeout by which the client must have an answer.
 	answerTolerance = 500 * time.Millisecond
 	// readTolerance is the time after which an entry is assumed to have read a request.
@@ -47,6 +53,7 @@
 	promiseService    = "a request is run by the service of its route"
 	promiseMap        = "no pass begins with two maps"
 	promiseDrain      = "an endpoint that leaves gets no new work"
+	promisePause      = "an endpoint that asked for a pause gets no work in it"
 	promiseConfig     = "an accepted configuration is in force everywhere"
 	promiseNoRollback = "a configuration never goes back"
 	promiseAllowed    = "what every configuration allows is not turned away"
@@ -114,6 +121,7 @@
 		r.checkStop(x)
 	}
 	r.checkArrivals()
+	r.checkSignals()
 	r.checkConfig()
 	r.checkBudget()
 }
@@ -181,6 +189,65 @@
 	}
 }
 
+// checkSignals checks that entries act on what endpoints say about themselves in answers,
+// whether or not the platform is in touch.
+func (r *run) checkSignals() {
+	type pair struct {
+		endpoint id.Endpoint
+		entry    int
+	}
+	byPair := make(map[pair][]arrival)
+	for _, list := range r.record.arrivals {
+		for _, a := range list {
+			byPair[pair{a.Endpoint, a.entry}] = append(byPair[pair{a.Endpoint, a.entry}], a)
+		}
+	}
+	for p, list := range byPair {
+		slices.SortFunc(list, func(a, b arrival) int { return a.At.Compare(b.At) })
+		for i, a := range list {
+			if a.Pause > 0 {
+				r.checkPause(p.entry, a, list[i+1:])
+			}
+		}
+		if i := slices.IndexFunc(list, func(a arrival) bool { return a.Leaving }); i >= 0 {
+			r.checkLeft(p.entry, list[i], list[i+1:])
+		}
+	}
+}
+
+// checkPause checks the requests that reached an endpoint from an entry after an answer that
+// asked for a pause.
+func (r *run) checkPause(entry int, asked arrival, later []arrival) {
+	n := 0
+	for _, a := range later {
+		if a.At.Before(asked.At.Add(pauseReaction)) || a.At.After(asked.At.Add(asked.Pause)) {
+			continue
+		}
+		if n++; n > maxInPause && r.record.undisturbed(asked.At, a.At, Host{Entry, entry}) {
+			r.record.addViolationLocked(Violation{
+				Promise: promisePause, At: a.At, Request: a.Request,
+				Detail: fmt.Sprintf("request %d at %s from entry-%d, %v after it asked for %v", n, a.Endpoint, entry, a.At.Sub(asked.At), asked.Pause),
+			})
+			return
+		}
+	}
+}
+
+// checkLeft checks the requests that reached an endpoint from an entry after the first answer
+// that said that it is leaving.
+func (r *run) checkLeft(entry int, first arrival, later []arrival) {
+	for _, a := range later {
+		x := r.record.byID[a.Request]
+		if x != nil && x.Start.After(first.At.Add(drainBound)) && r.record.undisturbed(first.At, a.At, Host{Entry, entry}) {
+			r.record.addViolationLocked(Violation{
+				Promise: promiseDrain, At: a.At, Request: a.Request,
+				Detail: fmt.Sprintf("%s got it from entry-%d %v after an answer that said that it leaves", a.Endpoint, entry, a.At.Sub(first.At)),
+			})
+			return
+		}
+	}
+}
+
 // checkConfig checks that entries apply accepted generations in time and never roll back.
 func (r *run) checkConfig() {
 	type seen struct {
