Heads of answers are bounded

Cause: a head was read to its end, however long: an endless header field took hundreds of megabytes in seconds, and interim answers (1xx) without end were read until the request's time was over. Trailers and chunk extensions are bounded by net/http.

--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -23,8 +23,33 @@
 	// maxSyncBodyBytes is the largest body that is written before the response is read.
 	// It fits the socket buffers, so that the write does not wait for the endpoint.
 	maxSyncBodyBytes = 16 << 10
+	// maxHeadBytes bounds the head of a response, with the interim responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge reports a response whose head exceeds maxHeadBytes.
+var errHeadTooLarge = errors.Newf("head of the answer exceeds %d bytes", maxHeadBytes)
+
+// headLimiter is a reader that bounds the bytes of a response's head.
+type headLimiter struct {
+	io.Reader
+	// left is the number of bytes that may still be read while limited is true.
+	left    int
+	limited bool
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // NotSentError reports that no byte of a request was sent.
 type NotSentError struct{ Cause error }
 
@@ -48,6 +73,8 @@
 	net.Conn
 	pool *Pool
 	br   *bufio.Reader
+	// head is the source of br.
+	head *headLimiter
 	// idleSince and idleTimeout bound the use of a pooled connection.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -188,8 +215,13 @@
 }
 
 func (c *conn) readHead(r *Request) (*http.Response, error) {
+	c.head.limited, c.head.left = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
 	for {
 		response, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		if err != nil && c.head.left <= 0 {
+			return nil, errHeadTooLarge // The error of a head that was cut may be another one.
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "answer cannot be read")
 		}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -128,7 +128,8 @@
 		p.release()
 		return nil, errors.Wrapf(err, "connect to %s", p.cfg.Address)
 	}
-	return &conn{Conn: nc, pool: p, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	head := &headLimiter{Reader: nc}
+	return &conn{Conn: nc, pool: p, br: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // takeIdle returns the most recently used idle connection that is usable and closes
