One odd object of the platform costs that object only

Cause: a page of a list or watch was decoded as one JSON document. An object nested deeper than encoding/json's bound made the whole page unreadable, again and again: the entry stopped following the platform. An endpoint whose registration becomes unreadable keeps the last one, a new one stays out, and each reason is logged once.

--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -33,6 +33,8 @@
 	mu        sync.Mutex // acquired before the locks of the handler and of groupManager
 	config    mesh.Value
 	endpoints registrations
+	// rejected holds the last reason for which a registration was rejected, by name.
+	rejected map[string]string
 }
 
 func (v *values) versions() map[mesh.Topic]uint64 {
@@ -105,6 +107,11 @@
 // applyConfigObjects applies the configuration among objects of its kind.
 func (v *values) applyConfigObjects(objects []objectapi.Object) {
 	for _, o := range objects {
+		if o.Name == v.adapter.ConfigName && o.Unreadable != nil {
+			v.log.Error().Err(o.Unreadable).Str("event", "configuration.rejected").Str("object", v.adapter.ConfigKind+"/"+o.Name).
+				Msg("configuration is unreadable; keeping the version in force")
+			continue
+		}
 		if o.Name == v.adapter.ConfigName && !o.Deleted {
 			v.setConfig(o.Value, "the platform")
 		}
@@ -113,14 +120,22 @@
 
 // replaceEndpoints replaces all registrations by a list at a revision.
 func (v *values) replaceEndpoints(objects []objectapi.Object, revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	listed := make(map[string]registration, len(objects))
 	for _, o := range objects {
-		if !o.Deleted {
+		last, known := v.endpoints.byName[o.Name]
+		switch {
+		case o.Deleted:
+		case o.Unreadable == nil:
 			listed[o.Name] = registration{Created: o.Created, Value: o.Value}
+		default:
+			v.reportRejected(o.Name, o.Unreadable)
+			if known {
+				listed[o.Name] = last
+			}
 		}
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	if v.endpoints.replace(listed, revision) {
 		v.publishEndpoints("the platform")
 	}
@@ -130,11 +145,35 @@
 func (v *values) applyEndpointEvents(objects []objectapi.Object, revision uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.endpoints.applyEvents(objects, revision) {
+	readable := make([]objectapi.Object, 0, len(objects))
+	for _, o := range objects {
+		if o.Unreadable != nil && !o.Deleted {
+			v.reportRejected(o.Name, o.Unreadable) // The last readable registration stays in force.
+			continue
+		}
+		readable = append(readable, o)
+	}
+	if v.endpoints.applyEvents(readable, revision) {
 		v.publishEndpoints("the platform")
 	}
 }
 
+// reportRejected logs a registration that cannot be used, once for each reason. The caller
+// holds mu.
+func (v *values) reportRejected(name string, reason error) {
+	if v.rejected[name] == reason.Error() {
+		return
+	}
+	if v.rejected == nil || len(v.rejected) >= maxRejected {
+		v.rejected = make(map[string]string)
+	}
+	v.rejected[name] = reason.Error()
+	v.log.Warn().Err(reason).Str("event", "endpoint.rejected").Str("object", v.adapter.EndpointKind+"/"+name).Send()
+}
+
+// maxRejected bounds the names of rejected registrations that are remembered.
+const maxRejected = 1024
+
 // publishEndpoints brings the registrations into force. The caller holds mu.
 func (v *values) publishEndpoints(source string) {
 	v.onChange()
@@ -143,9 +182,10 @@
 	for name, r := range v.endpoints.byName {
 		e, err := v.adapter.DecodeEndpoint(name, r.Value)
 		if err != nil {
-			v.log.Warn().Err(err).Str("event", "endpoint.rejected").Str("object", v.adapter.EndpointKind+"/"+name).Send()
+			v.reportRejected(name, err)
 			continue
 		}
+		delete(v.rejected, name)
 		if e.Draining {
 			draining++
 		}
--- a/entry/edge/values_test.go
+++ b/entry/edge/values_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -183,3 +185,29 @@
 	assert.Equal(t, a.versions()[topicEndpoints], uint64(60), "it is known up to 70")
 	assert.Equal(t, a.changes, before)
 }
+
+// TestUnreadableRegistrationKeepsLast guards against a registration that another writer made
+// unreadable: the endpoint keeps its last one, others change, and each reason is logged once.
+func TestUnreadableRegistrationKeepsLast(t *testing.T) {
+	a := newApplied()
+	var out bytes.Buffer
+	a.log = zerolog.New(&out)
+	a.adapter.EndpointKind = "servers"
+	odd := objectapi.Object{Name: "a", Unreadable: errors.New("nested too deep")}
+	a.replaceEndpoints([]objectapi.Object{object("a", `{"address":"1"}`, 1), object("b", `{"address":"2"}`, 1), object("bad", `{}`, 1)}, 1)
+	a.applyEndpointEvents([]objectapi.Object{odd, object("b", `{"address":"3"}`, 2)}, 2)
+	assert.Equal(t, a.endpoints["a"].Address, "1")
+	assert.Equal(t, a.endpoints["b"].Address, "3")
+	stranger := odd
+	stranger.Name = "c"
+	a.replaceEndpoints([]objectapi.Object{odd, stranger, object("b", `{"address":"4"}`, 3), object("bad", `{}`, 1)}, 3)
+	assert.Equal(t, a.endpoints["a"].Address, "1")
+	assert.Equal(t, a.endpoints["b"].Address, "4")
+	assert.Equal(t, len(a.endpoints), 2)
+	assert.Equal(t, strings.Count(out.String(), "endpoint.rejected"), 3, "%s", out.String())
+	assert.Equal(t, strings.Count(out.String(), "servers/bad"), 1)
+	removed := odd
+	removed.Deleted = true
+	a.applyEndpointEvents([]objectapi.Object{removed}, 4)
+	assert.Equal(t, len(a.endpoints), 1)
+}
--- a/fleet/mesh/register.go
+++ b/fleet/mesh/register.go
@@ -140,6 +140,9 @@
 // decodeRegistration decodes the registration in a platform object.
 func (m *Mesh) decodeRegistration(o objectapi.Object) (registration, bool) {
 	member, err := decodeMember(o.Value)
+	if o.Unreadable != nil {
+		err = o.Unreadable
+	}
 	if err == nil && member.Host != id.Host(o.Name) {
 		err = errors.Newf("value has host %q", member.Host)
 	}
--- a/fleet/objectapi/store.go
+++ b/fleet/objectapi/store.go
@@ -28,6 +28,8 @@
 	Deleted bool `json:"deleted,omitempty"`
 	// Value has at most MaxValueBytes.
 	Value []byte `json:"value"`
+	// Unreadable is set for an object of a list or watch of which only the name can be decoded.
+	Unreadable error `json:"-"`
 }
 
 // MaxValueBytes is the size of the largest value that the platform accepts.
