Rejected registrations are logged once for each reason

Change: a reason is remembered until another one follows. Measured: that test fails with the line and passes without it.

--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -185,7 +185,6 @@
 			v.reportRejected(name, err)
 			continue
 		}
-		delete(v.rejected, name)
 		if e.Draining {
 			draining++
 		}
