mesh: all members have the same interval, and a former contact stays registered

And a call that failed once counted for ever at a member that is not called again, so that live members were removed from the platform 30 s later and wrote themselves again; this was possible before for contacts that changed. Change: a hash of the pair decides which cell calls, and members beyond the size of the smaller cell call too. The interval follows from the largest cell, so it is the same for all. A hello clears failures, and only members that are still called count as silent. Measured: TestEveryMemberHearsEachCell (intervals 0.13 to 1.06 s before) and TestFormerContactStaysRegistered (72 writes before, none now).

--- a/fleet/mesh/cells_test.go
+++ b/fleet/mesh/cells_test.go
@@ -187,3 +187,67 @@
 	}
 	return sum
 }
+
+// TestEveryMemberHearsEachCell guards against members that hear of another cell less often than
+// others expect by their own interval: they would take a lease holder there for gone.
+func TestEveryMemberHearsEachCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.cfg.BytesPerSecond = 3000
+		var nodes []*node
+		for i, zone := range []id.Zone{"a", "b", "c", "d", "e"} {
+			for j := range 9 + 3*i { // Zones, and so cells, differ in size.
+				nodes = append(nodes, f.startIn(zone, fmt.Sprintf("%s%d", zone, j), "1"))
+			}
+		}
+		time.Sleep(30 * time.Second)
+		shortest, longest := time.Hour, time.Duration(0)
+		for _, n := range nodes {
+			n.mu.Lock()
+			n.heardAt, n.longestGap = make(map[string]time.Time), 0
+			n.mu.Unlock()
+			shortest, longest = min(shortest, n.mesh.Interval()), max(longest, n.mesh.Interval())
+		}
+		assert.Assert(t, longest < shortest*3/2, "intervals from %v to %v", shortest, longest)
+		time.Sleep(30 * time.Second)
+		for _, n := range nodes {
+			n.mu.Lock()
+			for _, cell := range n.mesh.layout.cellNames {
+				_, heard := n.heardAt[cell]
+				assert.Assert(t, heard || cell == n.mesh.layout.cellByHost[n.mesh.opt.Self.Host], "%s never heard of %s", n.mesh.opt.Self.Host, cell)
+			}
+			assert.Equal(t, len(n.heardAt), len(n.mesh.layout.cellNames)-1)
+			assert.Assert(t, n.longestGap < 2*shortest, "%s: %v at intervals from %v", n.mesh.opt.Self.Host, n.longestGap, shortest)
+			n.mu.Unlock()
+		}
+		stopAll(nodes)
+	})
+}
+
+// TestFormerContactStaysRegistered guards against the removal of a live member whose one call
+// failed, at its start or in a short cut, and that is not called again because it is no contact.
+func TestFormerContactStaysRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.cfg.ForgetAfter = 8 * time.Second
+		var nodes []*node
+		for i := range 30 {
+			nodes = append(nodes, f.startIn(id.Zone(fmt.Sprintf("z%d", i%3)), fmt.Sprintf("h%d", i), "1"))
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			n.mesh.mu.Lock()
+			for _, p := range n.mesh.peers {
+				p.lastFailure, p.failingSince, p.lastSeen = time.Now(), time.Now(), time.Time{}
+			}
+			n.mesh.mu.Unlock()
+		}
+		_, before, err := f.store.List(t.Context(), Kind)
+		assert.NilError(t, err)
+		time.Sleep(40 * time.Second)
+		_, after, err := f.store.List(t.Context(), Kind)
+		assert.NilError(t, err)
+		assert.Equal(t, after, before, "registrations were removed and written again")
+		stopAll(nodes)
+	})
+}
--- a/fleet/mesh/exchange.go
+++ b/fleet/mesh/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -114,16 +115,12 @@
 	m.mu.Lock()
 	l := m.currentLayout()
 	self := m.opt.Self.Host
-	exchanges := 0
 	for _, host := range l.cellMembers(self) {
 		p := m.peers[host]
 		if p == nil {
 			continue
 		}
 		own := initiates(self, host)
-		if own {
-			exchanges++
-		}
 		// A member that doesn't call in time may not know this entry.
 		silent := now.Sub(p.lastSeen) > m.aliveTimeout()
 		if p.callPending || (!own && !silent && !urgent) {
@@ -133,10 +130,7 @@
 	}
 	for _, host := range l.contacts(self, func(h id.Host) bool { return now.Sub(m.peers[h].lastFailure) > contactRetryDelay }) {
 		cell := l.cellByHost[host]
-		own := l.initiatesCell(l.cellByHost[self], cell)
-		if own {
-			exchanges++
-		}
+		own := l.callsCell(self, cell)
 		silent := now.Sub(m.summaryAt[cell]) > m.aliveTimeout()
 		if p := m.peers[host]; !p.callPending && (own || silent || urgent) {
 			r.targets = append(r.targets, p)
@@ -153,17 +147,24 @@
 	if len(l.cellNames) > 1 {
 		r.remoteHello = m.encodeHello(false)
 	}
-	m.updateRoundBytes(exchanges, max(len(r.cellHello), len(r.remoteHello)))
+	m.updateRoundBytes(l, r)
 	return r
 }
 
-// initiatesCell reports whether the members of a cell call their contacts in another one or
-// wait for their calls. The larger cell calls, so that each member of the other one is called.
-func (l layout) initiatesCell(own, other string) bool {
-	if a, b := len(l.hostsByCell[own]), len(l.hostsByCell[other]); a != b {
-		return a > b
+// largestCell returns the number of members of the largest cell.
+func (l layout) largestCell() int {
+	largest := 0
+	for _, hosts := range l.hostsByCell {
+		largest = max(largest, len(hosts))
 	}
-	return initiates(id.Host(own), id.Host(other))
+	return largest
+}
+
+// callsCell reports whether a host calls its contact in another cell or waits for a call from
+// there. Of two cells one calls; members that the calls of a smaller cell do not reach call too.
+func (l layout) callsCell(host id.Host, cell string) bool {
+	own := l.cellByHost[host]
+	return initiates(id.Host(own), id.Host(cell)) || slices.Index(l.hostsByCell[own], host) >= len(l.hostsByCell[cell])
 }
 
 // initiates reports whether self calls other or waits for its call. Each member calls
@@ -173,9 +174,13 @@
 	return smaller == (self < other)
 }
 
-// updateRoundBytes updates the moving average of the bytes of a round, both directions.
-func (m *Mesh) updateRoundBytes(exchanges, message int) {
-	bytes := float64(exchanges * 2 * (message + packetOverheadBytes))
+// updateRoundBytes updates the moving average of the bytes of a round. Each exchange counts
+// half, whichever side calls, and all cells as the largest one, so that all members have about the
+// same interval: they judge by their own how often others should be heard of.
+func (m *Mesh) updateRoundBytes(l layout, r *round) {
+	inCell := l.largestCell() - 1
+	toCells := len(l.cellNames) - 1
+	bytes := float64(inCell*(len(r.cellHello)+packetOverheadBytes) + toCells*(len(r.remoteHello)+packetOverheadBytes))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.roundBytes == 0 {
@@ -312,6 +317,7 @@
 		m.opt.Log.Info().Str("event", "member.alive").Str("member", string(h.Host)).Msg("member responds")
 	}
 	p.lastSeen, p.versions, p.watchesHealthy = now, h.Versions, h.WatchesHealthy
+	p.lastFailure, p.failingSince = time.Time{}, time.Time{}
 	if h.Cell != "" {
 		m.summaryAt[h.Cell] = now
 	}
--- a/fleet/mesh/mesh_test.go
+++ b/fleet/mesh/mesh_test.go
@@ -43,6 +43,9 @@
 	value  Value
 	states map[id.Host]string
 	cells  map[string]int
+	// heardAt is when a summary of each cell last arrived, longestGap the longest time between two.
+	heardAt    map[string]time.Time
+	longestGap time.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -64,7 +67,7 @@
 // startIn starts an entry in a zone.
 func (f *fleet) startIn(zone id.Zone, host, incarnation string, seeds ...string) *node {
 	f.t.Helper()
-	n := &node{store: faultstore.New(f.store), states: make(map[id.Host]string), cells: make(map[string]int), done: make(chan struct{})}
+	n := &node{store: faultstore.New(f.store), states: make(map[id.Host]string), cells: make(map[string]int), heardAt: make(map[string]time.Time), done: make(chan struct{})}
 	n.net = f.net.Join(address(host))
 	var err error
 	n.mesh, err = New(Options{
@@ -97,6 +100,10 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.cells[cell] = int(summary[0])
+			if last, ok := n.heardAt[cell]; ok {
+				n.longestGap = max(n.longestGap, time.Since(last))
+			}
+			n.heardAt[cell] = time.Now()
 		},
 		OnState: func(m Member, state []byte) {
 			n.mu.Lock()
--- a/fleet/mesh/register.go
+++ b/fleet/mesh/register.go
@@ -240,7 +240,9 @@
 	m.mu.Lock()
 	var silent []*peer
 	for _, p := range m.peers {
-		if p.revision != 0 && !p.failingSince.IsZero() && now.Sub(p.failingSince) > m.cfg.ForgetAfter && now.Sub(p.lastSeen) > m.cfg.ForgetAfter {
+		// A member that is not called any more, as it is no contact, may have failed long ago.
+		stillCalled := now.Sub(p.lastFailure) < m.cfg.ForgetAfter/2
+		if p.revision != 0 && stillCalled && now.Sub(p.failingSince) > m.cfg.ForgetAfter && now.Sub(p.lastSeen) > m.cfg.ForgetAfter {
 			silent = append(silent, p)
 		}
 	}
