Maps on their way to the ranks of a large group are not sent again

Cause: each rank gets the whole map of a change. Change: a prepare order is sent again later by the time in which all maps pass the link, its answer is no measure of the round trip, and a relay counts as silent only 1 s after an order with a map; no step is held in that phase. Measured: TestMapsAreNotSentTwiceWhileOnTheirWay, 192 ranks and 0.3 s for all maps: 192 maps sent and all answered; 1,499 sent and 377 answered without the transfer time.

--- a/balance/mapswitch/far_test.go
+++ b/balance/mapswitch/far_test.go
@@ -176,3 +176,55 @@
 	}
 	assert.Assert(t, m.stepTime > stepTime/2 && m.stepTime < 2*stepTime, "a step takes %v", m.stepTime)
 }
+
+// TestMapsAreNotSentTwiceWhileOnTheirWay covers a large group behind one link: the maps of a
+// change take longer on the link than the usual resend interval, and copies of them would keep
+// the link full until the change is given up.
+func TestMapsAreNotSentTwiceWhileOnTheirWay(t *testing.T) {
+	const ranks, transfer = 192, 300 * time.Millisecond
+	for _, known := range []bool{true, false} {
+		cfg := Config{Ranks: ranks}
+		if known {
+			cfg.MapTransferTime = transfer
+		}
+		c := New(cfg, 1)
+		for r := range ranks {
+			c.Report(Report{Rank: r, Epoch: 1, Open: true, Step: 5}, 0)
+		}
+		content := Map{make([][]int, ranks)}
+		for r := range content[0] {
+			content[0][r] = []int{r}
+		}
+		c.SetContent(1, 0, content)
+		now := time.Duration(0)
+		for ; c.Phase() != Idle && now < time.Second; now += 10 * time.Millisecond {
+			for _, o := range c.Tick(now) {
+				c.Result(o.ID, Done, now+time.Millisecond)
+			}
+		}
+		next := Map{append([][]int{{1}}, content[0][1:]...)}
+		assert.Assert(t, c.Start(next, now), "phase %v", c.Phase())
+		// Each map takes its share of the transfer time on the link, in the order of sending.
+		var free time.Duration
+		sent, answered := 0, 0
+		arrivals := make(map[uint64]time.Duration)
+		for end := now + 2*transfer; now < end && c.Phase() == Preparing; now += 10 * time.Millisecond {
+			for _, o := range c.Tick(now) {
+				if o.Op == Prepare {
+					free = max(free, now) + transfer/ranks
+					arrivals[o.ID] = free
+					sent++
+				}
+			}
+			for order, at := range arrivals {
+				if at <= now {
+					c.Result(order, Done, now)
+					delete(arrivals, order)
+					answered++
+				}
+			}
+		}
+		t.Logf("transfer time known: %v: %d maps sent, %d answered", known, sent, answered)
+		assert.Equal(t, sent == ranks, known)
+	}
+}
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -240,7 +240,10 @@
 	}
 	p := k.pending[i]
 	k.pending = slices.Delete(k.pending, i, i+1)
-	k.recordRTT(now - p.sentAt)
+	// The time that a map is on its way says little about the round trip.
+	if transfer := c.transferTime(p.Order); transfer == 0 || k.rtt == 0 {
+		k.recordRTT(max(now-p.sentAt-transfer, time.Millisecond))
+	}
 	if p.superseded {
 		return
 	}
@@ -307,7 +310,7 @@
 
 func (c *Coordinator) issueVia(o Order, now time.Duration) []Order {
 	k := &c.ranks[o.Rank]
-	k.pending = slices.DeleteFunc(k.pending, func(p pendingOrder) bool { return now-p.sentAt > maxRTT })
+	k.pending = slices.DeleteFunc(k.pending, func(p pendingOrder) bool { return now-p.sentAt > maxRTT+c.transferTime(p.Order) })
 	for i := range k.pending {
 		p := &k.pending[i]
 		if p.superseded || p.Op != o.Op {
--- a/balance/mapswitch/timing.go
+++ b/balance/mapswitch/timing.go
@@ -47,7 +47,15 @@
 // resendInterval returns the time after which an unanswered order is sent again.
 func (c *Coordinator) resendInterval(o Order) time.Duration {
 	trips := resendRTTs * max(c.ranks[o.Rank].rtt, c.ranks[o.Via].rtt)
-	return max(c.cfg.ResendInterval, min(trips, maxResendInterval))
+	return max(c.cfg.ResendInterval, min(trips, maxResendInterval)) + c.transferTime(o)
+}
+
+// transferTime returns the time for which an order may be on its way besides the round trip.
+func (c *Coordinator) transferTime(o Order) time.Duration {
+	if o.Op == Prepare {
+		return c.cfg.MapTransferTime
+	}
+	return 0
 }
 
 // longestRTT returns the largest estimate over all ranks.
--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -117,6 +117,10 @@
 	// ResendInterval is the least time after which an unanswered order is sent again.
 	// Default: 40 ms, several round trips to a rank nearby.
 	ResendInterval time.Duration
+	// MapTransferTime is the time in which the maps of a change reach all ranks over the
+	// coordinator's link. Prepare orders are sent again that much later, since copies of
+	// orders that are still on their way would fill the link. Default: 0.
+	MapTransferTime time.Duration
 	// PrepareTimeout bounds the copying of the weights; after it, the change is
 	// abandoned. Default: 3 s.
 	PrepareTimeout time.Duration
--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -66,7 +66,7 @@
 	g := &group{
 		name: name, size: size, cfg: s.cfg, experts: s.engine.Experts, requestSlots: s.engine.Slots,
 		log:       s.log,
-		mapSwitch: mapswitch.New(mapswitch.Config{Ranks: size}, s.token),
+		mapSwitch: mapswitch.New(mapswitch.Config{Ranks: size, MapTransferTime: mapTransferTime(size, s.engine.Experts)}, s.token),
 		demand: expertmap.NewDemandEstimator(expertmap.DemandConfig{
 			Sets: s.engine.Experts.LayerSets, Experts: s.engine.Experts.ExpertsPerSet, Ranks: size, TimeConstant: s.cfg.DemandTimeConstant,
 			SampledRanks: s.cfg.sampledRankCount(size, s.engine.Slots),
@@ -81,6 +81,20 @@
 	return g
 }
 
+const (
+	// mapBytesPerExpert is the size of an expert in an encoded map.
+	mapBytesPerExpert = 3
+	// linkBytesPerSecond is a low estimate of the speed of an entry's link.
+	linkBytesPerSecond = 10e6
+)
+
+// mapTransferTime returns the time that the maps of a change take on the entry's link: each
+// rank gets the whole map.
+func mapTransferTime(ranks int, e *routes.Experts) time.Duration {
+	bytes := mapBytesPerExpert * e.LayerSets * e.SlotsPerRank * ranks * ranks
+	return time.Duration(float64(bytes) / linkBytesPerSecond * float64(time.Second))
+}
+
 // onState processes a state and reports whether the rank's link changed.
 func (g *group) onState(l *ranklink.Link, s *relay.State, now time.Duration) bool {
 	if s.Rank < 0 || s.Rank >= g.size {
--- a/entry/ranklink/link.go
+++ b/entry/ranklink/link.go
@@ -51,6 +51,9 @@
 	// orderReplyTimeout is the time without any message after an order before reconnecting.
 	// Relays repeat the state of a stalled group every 200 ms.
 	orderReplyTimeout = 250 * time.Millisecond
+	// mapReplyTimeout replaces orderReplyTimeout after an order with a map: those to many ranks
+	// fill the entry's link for some hundred milliseconds, and no step is held meanwhile.
+	mapReplyTimeout = time.Second
 	// relaySilenceTimeout closes a silent connection; relays repeat their state every second.
 	relaySilenceTimeout = 2500 * time.Millisecond
 	maxLineBytes        = 1 << 20
@@ -84,6 +87,8 @@
 	// unansweredSince is when the first order was sent after the relay's last message, zero
 	// if there was none.
 	unansweredSince time.Time
+	// replyTimeout is the time since then after which the relay counts as silent.
+	replyTimeout time.Duration
 	// reconnected is true from reconnecting because of silence until the next message.
 	reconnected bool
 }
@@ -207,7 +212,7 @@
 				return err
 			}
 		case o := <-l.orders:
-			if l.shouldReconnect(time.Now()) {
+			if l.shouldReconnect(time.Now(), o.Experts != nil) {
 				return errRelaySilent
 			}
 			if err := enc.Encode(relay.ToRelay{Order: &o}); err != nil {
@@ -228,15 +233,19 @@
 
 // shouldReconnect reports whether to replace the connection because nothing arrived for
 // too long after an order: established connections can go silent for good while new ones
-// work. It does so once; if the next one is silent too, the relay's host is frozen, and
+// work. withMap is true if the next order has a map. It does so once; if the next one is silent too, the relay's host is frozen, and
 // the rank with it.
-func (l *Link) shouldReconnect(now time.Time) bool {
+func (l *Link) shouldReconnect(now time.Time, withMap bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.unansweredSince.IsZero() {
-		l.unansweredSince = now
+		l.unansweredSince, l.replyTimeout = now, orderReplyTimeout
 	}
-	if l.reconnected || now.Sub(l.unansweredSince) < orderReplyTimeout {
+	silent := now.Sub(l.unansweredSince) >= l.replyTimeout
+	if withMap {
+		l.replyTimeout = mapReplyTimeout
+	}
+	if l.reconnected || !silent {
 		return false
 	}
 	l.reconnected = true
