An answer beyond the size limit is not passed on cut off

Callers saw a 500 with the endpoint's signature, "Content-Length: 1048576" and exactly that many bytes: a whole answer by its looks, which no endpoint gave.

Cause: a response to a stream's request with a status other than 200 was read through a limit of 1 MiB that ended it like its own end, and the length was then written anew. The same limit in the other routes was noticed by one byte more.

Ruled out: the framing of upstream (the exchange reports a body as ended only at its own end), and the client's side (the entry's own length is the limit).

Change: one function reads each response that is forwarded as a whole. Beyond the limit the attempt has failed: it is repeated where it may be, else the client gets 502. A length that is announced too large is not read at all. The two places that it replaces judged the endpoint, logged and counted differently. Now a failure (5xx) or a body without announced end is the endpoint's failure, a sound one of another status is not, an answer that breaks off is logged as attempt.lost in streams too, and response.oversized with its counter tells a cut by the limit from the rest.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,13 +11,9 @@
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
-const (
-	// maxBufferedBytes is the largest response that is buffered.
-	maxBufferedBytes = 1 << 20
-	// attemptTimeoutTargets is the attempt timeout as a multiple of the target latency, while
-	// another endpoint may still be tried.
-	attemptTimeoutTargets = 2
-)
+// attemptTimeoutTargets is the attempt timeout as a multiple of the target latency, while
+// another endpoint may still be tried.
+const attemptTimeoutTargets = 2
 
 var errAttemptTimeout = errors.New("the endpoint gave no answer in time")
 
@@ -99,30 +94,8 @@
 		outcome = Failed
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Body(), maxBufferedBytes+1))
-	if err != nil {
-		outcome = Failed
-		h.recordLoss(ctx, q, slot, p, err)
-		return nil, errors.Wrap(err, "answer broke off")
-	}
-	if len(body) > maxBufferedBytes {
-		return nil, errors.Newf("answer exceeds %d bytes", maxBufferedBytes)
-	}
-	if !info.NotRun {
-		slot.RecordFirstEvent()
-		q.service.quarantine.answered(q)
-	}
-	status := x.Response.StatusCode
-	switch {
-	case info.NotRun:
-	case status >= http.StatusInternalServerError:
-		outcome = Failed
-	default:
-		outcome = Succeeded
-	}
-	return &response{
-		status: status, header: x.Response.Header, body: body, info: info, endpoint: slot.Backend.Name,
-	}, nil
+	resp, outcome, err = h.readWhole(ctx, q, slot, x, info, p)
+	return resp, err
 }
 
 // attemptTimeout returns the attempt's timeout, false if only the request's deadline
--- a/entry/direct/requestlog.go
+++ b/entry/direct/requestlog.go
@@ -86,6 +86,13 @@
 		Str("of", string(of)).Msg("the answer belongs to another request")
 }
 
+// oversized logs a response that is too large to be forwarded.
+func (l *requestLog) oversized(q *request, x *Slot, r *http.Response) {
+	l.set.GetOrCreateCounter(fmt.Sprintf("siskinford_oversized_responses_total{service=%q}", string(q.service.name))).Inc()
+	l.request(l.log.Warn(), "response.oversized", q).Str("endpoint", string(x.Backend.Name)).Int("status", r.StatusCode).
+		Int64("declared", r.ContentLength).Int64("limit", maxBufferedBytes).Msg("the answer is too large to be passed on whole")
+}
+
 // quarantined logs that a request is refused because of a part of its prompt, with the evidence.
 func (l *requestLog) quarantined(q *request, v quarantine.Verdict, status int, now time.Duration) {
 	l.count(endQuarantined, q.service.name)
--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -15,8 +15,9 @@
 
 // response is a buffered response of an endpoint.
 type response struct {
-	status   int
-	header   http.Header
+	status int
+	header http.Header
+	// body is complete.
 	body     []byte
 	info     ResponseInfo
 	endpoint id.Endpoint
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -143,18 +143,8 @@
 		return nil, err
 	}
 	if x.Response.StatusCode != http.StatusOK {
-		body, err := io.ReadAll(io.LimitReader(x.Body(), maxBufferedBytes))
-		if err != nil {
-			outcome = Failed
-			return nil, errors.Wrap(err, "answer broke off")
-		}
-		if !info.NotRun {
-			outcome = Failed
-			q.service.quarantine.answered(q)
-		}
-		return &response{
-			status: x.Response.StatusCode, header: x.Response.Header, body: body, info: info, endpoint: slot.Backend.Name,
-		}, nil
+		resp, outcome, err = h.readWhole(ctx, q, slot, x, info, p)
+		return resp, err
 	}
 	if s.headerSent && !continues(s.w.Header(), x.Response.Header) {
 		outcome = Failed
--- /dev/null
+++ b/entry/direct/wholebody.go
@@ -0,0 +1,70 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/entry/routes"
+	"github.com/siskinford/siskinford/entry/upstream"
+)
+
+// maxBufferedBytes is the largest response that is buffered.
+const maxBufferedBytes = 1 << 20
+
+// errResponseTooLarge reports a response that exceeds maxBufferedBytes. No part of it may be
+// forwarded: cut off, it would look complete.
+var errResponseTooLarge = errors.Newf("answer exceeds %d bytes", maxBufferedBytes)
+
+// readWhole reads a response that is forwarded as a whole or not at all. The error says why it
+// cannot be forwarded. outcome is that of the attempt in either case.
+func (h *Handler) readWhole(ctx context.Context, q *request, slot *Slot, x *upstream.Exchange, info ResponseInfo, p *progress) (resp *response, outcome Outcome, err error) {
+	r := x.Response
+	resp = &response{status: r.StatusCode, header: r.Header, info: info, endpoint: slot.Backend.Name}
+	resp.body, err = readLimited(x, maxBufferedBytes)
+	if err != nil && !errors.Is(err, errResponseTooLarge) {
+		h.recordLoss(ctx, q, slot, p, err)
+		return nil, Failed, errors.Wrap(err, "answer broke off")
+	}
+	if !info.NotRun {
+		q.service.quarantine.answered(q)
+		if failed := r.StatusCode >= http.StatusInternalServerError; !failed || q.route.Kind != routes.Streaming {
+			// Failures come sooner than the first event of a stream.
+			slot.RecordFirstEvent()
+		}
+	}
+	switch {
+	case err != nil:
+		h.requestLog.oversized(q, slot, r)
+		return nil, oversizedOutcome(r), err
+	case info.NotRun:
+		return resp, Neutral, nil
+	case r.StatusCode >= http.StatusInternalServerError:
+		return resp, Failed, nil
+	default:
+		return resp, Succeeded, nil
+	}
+}
+
+// oversizedOutcome returns the outcome of an attempt whose response was too large. A response
+// that announced its length may be sound.
+func oversizedOutcome(r *http.Response) Outcome {
+	if r.StatusCode < http.StatusInternalServerError && r.ContentLength > maxBufferedBytes {
+		return Neutral
+	}
+	return Failed
+}
+
+// readLimited reads a body of at most limit bytes.
+func readLimited(x *upstream.Exchange, limit int64) ([]byte, error) {
+	if x.HasBody() && x.Response.ContentLength > limit {
+		return nil, errResponseTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Body(), limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errResponseTooLarge
+	}
+	return body, err
+}
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -112,6 +112,12 @@
 // Body returns the response body. It ends with io.EOF only if it is complete.
 func (x *Exchange) Body() io.Reader { return x.body }
 
+// HasBody reports whether the response may have a body. Some responses state a length without one.
+func (x *Exchange) HasBody() bool {
+	s := x.Response.StatusCode
+	return x.request.Method != http.MethodHead && s != http.StatusNoContent && s != http.StatusNotModified
+}
+
 // Reused reports whether the connection served other exchanges before.
 func (x *Exchange) Reused() bool { return x.conn.used }
 
