A refusal holds by its head, whatever becomes of its body

Callers of requests that may run once saw 502 "may have run" or no answer until their time was over, though the endpoint had said in its head that the request did not run. They could not ask again.

Cause: the body of a refusal was read like that of an answer. If it broke off, came late or exceeded the limit, the attempt failed as one that may have run.

Change: the body of a refusal is read within 16 KiB and 50 ms, and only to keep the connection. Otherwise the connection is reset.

--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -17,7 +17,7 @@
 type response struct {
 	status int
 	header http.Header
-	// body is complete.
+	// body is complete. It is empty in a refusal.
 	body     []byte
 	info     ResponseInfo
 	endpoint id.Endpoint
--- a/entry/direct/wholebody.go
+++ b/entry/direct/wholebody.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,8 +12,14 @@
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
-// maxBufferedBytes is the largest response that is buffered.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes is the largest response that is buffered.
+	maxBufferedBytes = 1 << 20
+	// maxRefusalBytes and refusalBodyTimeout bound the reading of a refusal's body, which is only
+	// read so that the connection can be used again.
+	maxRefusalBytes    = 16 << 10
+	refusalBodyTimeout = 50 * time.Millisecond
+)
 
 // errResponseTooLarge reports a response that exceeds maxBufferedBytes. No part of it may be
 // forwarded: cut off, it would look complete.
@@ -23,24 +30,24 @@
 func (h *Handler) readWhole(ctx context.Context, q *request, slot *Slot, x *upstream.Exchange, info ResponseInfo, p *progress) (resp *response, outcome Outcome, err error) {
 	r := x.Response
 	resp = &response{status: r.StatusCode, header: r.Header, info: info, endpoint: slot.Backend.Name}
+	if info.NotRun {
+		x.Drain(maxRefusalBytes, refusalBodyTimeout) // The head is the refusal.
+		return resp, Neutral, nil
+	}
 	resp.body, err = readLimited(x, maxBufferedBytes)
 	if err != nil && !errors.Is(err, errResponseTooLarge) {
 		h.recordLoss(ctx, q, slot, p, err)
 		return nil, Failed, errors.Wrap(err, "answer broke off")
 	}
-	if !info.NotRun {
-		q.service.quarantine.answered(q)
-		if failed := r.StatusCode >= http.StatusInternalServerError; !failed || q.route.Kind != routes.Streaming {
-			// Failures come sooner than the first event of a stream.
-			slot.RecordFirstEvent()
-		}
+	q.service.quarantine.answered(q)
+	if failed := r.StatusCode >= http.StatusInternalServerError; !failed || q.route.Kind != routes.Streaming {
+		// Failures come sooner than the first event of a stream.
+		slot.RecordFirstEvent()
 	}
 	switch {
 	case err != nil:
 		h.requestLog.oversized(q, slot, r)
 		return nil, oversizedOutcome(r), err
-	case info.NotRun:
-		return resp, Neutral, nil
 	case r.StatusCode >= http.StatusInternalServerError:
 		return resp, Failed, nil
 	default:
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -118,6 +118,21 @@
 	return x.request.Method != http.MethodHead && s != http.StatusNoContent && s != http.StatusNotModified
 }
 
+// Drain reads the rest of a body that nobody wants, so that the connection can be reused. It gives
+// up after limit bytes or the timeout.
+func (x *Exchange) Drain(limit int64, timeout time.Duration) {
+	if x.Response.ContentLength > limit {
+		return
+	}
+	if err := x.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return // The connection is closed.
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.body, limit)) // Close discards a connection with an unread body.
+	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
+		x.body.ended = false
+	}
+}
+
 // Reused reports whether the connection served other exchanges before.
 func (x *Exchange) Reused() bool { return x.conn.used }
 
