An answer without a body keeps the length that it states

Callers of HEAD saw "Content-Length: 0", or no length in streams' routes, where the endpoint had stated the length of the body that GET would have.

Cause: the length was written anew from the bytes read. Found while looking for other places that do so.

--- a/entry/direct/header.go
+++ b/entry/direct/header.go
@@ -40,3 +40,11 @@
 		dst["Content-Type"] = nil
 	}
 }
+
+// copyLength copies the length that a response without a body states, of the body of another
+// method or of the client's copy.
+func copyLength(dst, src http.Header) {
+	if length, ok := src["Content-Length"]; ok {
+		dst["Content-Length"] = length
+	}
+}
--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -18,7 +18,9 @@
 	status int
 	header http.Header
 	// body is complete. It is empty in a refusal.
-	body     []byte
+	body []byte
+	// bodiless responses have no body, whatever length their header states.
+	bodiless bool
 	info     ResponseInfo
 	endpoint id.Endpoint
 }
@@ -71,7 +73,11 @@
 		h.failUnknown(w, q, http.StatusBadGateway, errors.Newf("the endpoint answered %d without the promise not to run it", resp.status))
 	default:
 		copyHeader(w.Header(), resp.header)
-		w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		if resp.bodiless {
+			copyLength(w.Header(), resp.header)
+		} else {
+			w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		}
 		w.WriteHeader(resp.status)
 		_, _ = w.Write(resp.body) // A disconnected client cancels the request's context.
 		h.requestLog.answered(q, resp.endpoint, resp.status)
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -210,7 +210,7 @@
 		event, eventID, err := events.next()
 		if err == io.EOF {
 			q.service.quarantine.answered(q)
-			s.sendHeader(x.Response.Header)
+			s.sendHeader(x)
 			return nil
 		}
 		if err != nil {
@@ -228,7 +228,7 @@
 		case gap:
 			return errors.Newf("event %q follows event %q", eventID, s.lastEventID)
 		}
-		s.sendHeader(x.Response.Header)
+		s.sendHeader(x)
 		if err := s.write(event); err != nil {
 			return &clientGoneError{cause: err}
 		}
@@ -261,13 +261,15 @@
 }
 
 // sendHeader sends the header of the first attempt that has one.
-func (s *streamWriter) sendHeader(h http.Header) {
+func (s *streamWriter) sendHeader(x *upstream.Exchange) {
 	if s.headerSent {
 		return
 	}
 	s.headerSent = true
-	copyHeader(s.w.Header(), h)
-	s.w.Header().Del("Content-Length")
+	copyHeader(s.w.Header(), x.Response.Header)
+	if !x.HasBody() {
+		copyLength(s.w.Header(), x.Response.Header)
+	}
 	s.w.WriteHeader(http.StatusOK)
 }
 
--- a/entry/direct/wholebody.go
+++ b/entry/direct/wholebody.go
@@ -29,7 +29,7 @@
 // cannot be forwarded. outcome is that of the attempt in either case.
 func (h *Handler) readWhole(ctx context.Context, q *request, slot *Slot, x *upstream.Exchange, info ResponseInfo, p *progress) (resp *response, outcome Outcome, err error) {
 	r := x.Response
-	resp = &response{status: r.StatusCode, header: r.Header, info: info, endpoint: slot.Backend.Name}
+	resp = &response{status: r.StatusCode, header: r.Header, bodiless: !x.HasBody(), info: info, endpoint: slot.Backend.Name}
 	if info.NotRun {
 		x.Drain(maxRefusalBytes, refusalBodyTimeout) // The head is the refusal.
 		return resp, Neutral, nil
