A client that leaves is no failure of the endpoint that is answering

Endpoints were avoided although they were sound: each client that left, or whose time ended, while the body of an answer was read counted as the endpoint's failure.

Cause: the error of such a read is that of the connection that the entry itself closes, and it was judged without a look at the end of the request.

--- a/entry/direct/lengths_test.go
+++ b/entry/direct/lengths_test.go
@@ -35,4 +35,3 @@
 		}
 	}
 }
-
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -225,6 +225,11 @@
 	Hung
 )
 
+// String returns the value of the label outcome of siskinford_attempts_total.
+func (o Outcome) String() string {
+	return [...]string{"neutral", "succeeded", "failed", "hung"}[o]
+}
+
 // RecordFirstEvent records the first event of a stream, or a buffered response.
 func (x *Slot) RecordFirstEvent() {
 	s := x.service
@@ -246,6 +251,7 @@
 // Release frees the slot. It must be called exactly once.
 func (x *Slot) Release(o Outcome) {
 	s := x.service
+	s.set.GetOrCreateCounter(fmt.Sprintf("siskinford_attempts_total{outcome=%q,service=%q}", o, string(s.name))).Inc()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
--- a/entry/direct/wholebody.go
+++ b/entry/direct/wholebody.go
@@ -35,6 +35,10 @@
 		return resp, Neutral, nil
 	}
 	resp.body, err = readLimited(x, maxBufferedBytes)
+	if err != nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+		return nil, outcomeOf(err), err
+	}
 	if err != nil && !errors.Is(err, errResponseTooLarge) {
 		h.recordLoss(ctx, q, slot, p, err)
 		return nil, Failed, errors.Wrap(err, "answer broke off")
