Streams that reach their timeout are answered before the connection closes

Callers of streams whose first event was not there at the route's timeout found their connection closed without a byte: neither 504 (it may have run) nor 503 (it has not run, come back).

Cause: the write deadline of a stream's connection was the moment at which the request's context ends, so that every write of the final answer failed. Buffered requests have no write deadline and were answered.

Change: the write deadline is 400 ms later.

TestTimedOutRequestIsAnswered failed before in the eight cases of streams (EOF) and in none of the other eight; TestTimedOutStreamLeavesConnectionUsable failed too.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -15,6 +15,10 @@
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
+// finalAnswerTime is the time for which a client that reads slowly may delay the end of its stream
+// beyond the deadline. The answer to a stream that was still waiting then is written in it.
+const finalAnswerTime = 400 * time.Millisecond
+
 var errStreamSilent = errors.New("the stream fell silent while others go on")
 
 // clientGoneError reports that writing to the client failed.
@@ -40,7 +44,7 @@
 // serveStream forwards a stream and resumes it at another endpoint if it breaks off.
 func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	s := &streamWriter{w: w, rc: http.NewResponseController(w), lastEventID: q.info.LastEvent, lastProgress: q.began}
-	if err := s.rc.SetWriteDeadline(q.deadline); err != nil {
+	if err := s.rc.SetWriteDeadline(q.deadline.Add(finalAnswerTime)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	var (
--- /dev/null
+++ b/entry/direct/timeout_test.go
@@ -0,0 +1,94 @@
+package direct
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/entry/routes"
+)
+
+// TestTimedOutRequestIsAnswered guards against a request that reaches its route's timeout and whose
+// connection is then closed without the answer that says whether it may have run.
+func TestTimedOutRequestIsAnswered(t *testing.T) {
+	slowHead := func(_ int, w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		text := "HTTP/1.1 200 OK\r\n"
+		for ; r.Context().Err() == nil; text = "A: b\r\n" {
+			if _, err := c.Write([]byte(text)); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	slowFailure := func(_ int, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request", r.Header.Get("Request"))
+		w.WriteHeader(500)
+		for r.Context().Err() == nil {
+			if _, err := w.Write([]byte("still ")); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for kind, route := range kinds {
+		route.Timeout = 300 * time.Millisecond
+		for name, answer := range map[string]script{"no answer": hang, "head a line at a time": slowHead, "failure that does not end": slowFailure} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				e := newEntry(t, route, newBackend(t, "a", answer))
+				got := e.send(http.MethodPost)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusGatewayTimeout, got.body)
+				assert.Assert(t, got.took < 800*time.Millisecond, "%v", got.took)
+			})
+		}
+		t.Run(kind+", queued", func(t *testing.T) {
+			a := newBackend(t, "a", hang)
+			e := newEntry(t, route, a)
+			one := a.endpoint("s")
+			one.Slots = 1
+			e.handler.SetEndpoints([]Endpoint{one})
+			refused := 0
+			for _, got := range e.sendTogether(12) {
+				assert.NilError(t, got.err)
+				if got.status == http.StatusServiceUnavailable {
+					assert.Assert(t, got.header.Get("Retry-After") != "")
+					refused++
+				}
+			}
+			assert.Assert(t, refused > 0)
+			assert.Equal(t, refused+len(a.requests()), 12)
+		})
+	}
+}
+
+// TestTimedOutStreamLeavesConnectionUsable guards against a write deadline that outlives its stream.
+func TestTimedOutStreamLeavesConnectionUsable(t *testing.T) {
+	route := routes.Route{Kind: routes.Streaming, Timeout: 200 * time.Millisecond}
+	a := newBackend(t, "a", func(n int, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			hang(n, w, r)
+			return
+		}
+		events(2, 0, 0)(n, w, r)
+	})
+	e := newEntry(t, route, a)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConns: 1}}
+	for _, want := range []int{504, 200} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.server.URL+testPrefix+"x", nil)
+		assert.NilError(t, err)
+		r.Host = "h.example"
+		r.Header.Set("Key", "key-a")
+		resp, err := client.Do(r)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, want)
+		assert.NilError(t, resp.Body.Close())
+		time.Sleep(finalAnswerTime)
+	}
+}
