A body that does not arrive in time is answered 408

Callers that stopped sending their body, or sent it too slowly, found their connection closed when the time of the request was over, without a word that it had not run.

Cause: the end of the time for the body was taken for the client's disconnect.

Change: 408, which promises that the request has not run, and Connection: close. The entry goes on reading for 300 ms, because a connection that is closed with bytes unread is reset and may take the answer with it.

TestBodyThatDoesNotArriveIsAnswered failed before for each kind of route (EOF).

--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -255,9 +256,23 @@
 		h.reject(w, r, info, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
 	}
-	panic(http.ErrAbortHandler) // The client disconnected or stopped sending.
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		panic(http.ErrAbortHandler) // The client disconnected.
+	}
+	// The rest of the body may still be on its way. A connection that is closed before it is read
+	// is reset, and the client may never see the answer.
+	rc := http.NewResponseController(w)
+	w.Header().Set("Connection", "close")
+	_ = rc.EnableFullDuplex() // Supported by HTTP/1.
+	h.reject(w, r, info, http.StatusRequestTimeout, "the body did not arrive in time")
+	if rc.Flush() == nil && rc.SetReadDeadline(time.Now().Add(unreadBodyTime)) == nil {
+		_, _ = io.Copy(io.Discard, r.Body) // Nobody needs it.
+	}
 }
 
+// unreadBodyTime is the time for which the entry goes on reading a body that it does not need.
+const unreadBodyTime = 300 * time.Millisecond
+
 // teamName returns the name of the request's team, empty on public routes.
 func (q *request) teamName() id.Team {
 	if q.team == nil {
--- a/entry/direct/timeout_test.go
+++ b/entry/direct/timeout_test.go
@@ -1,7 +1,11 @@
 package direct
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,14 +45,16 @@
 		route.Timeout = 300 * time.Millisecond
 		for name, answer := range map[string]script{"no answer": hang, "head a line at a time": slowHead, "failure that does not end": slowFailure} {
 			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
 				e := newEntry(t, route, newBackend(t, "a", answer))
 				got := e.send(http.MethodPost)
 				assert.NilError(t, got.err)
 				assert.Equal(t, got.status, http.StatusGatewayTimeout, got.body)
-				assert.Assert(t, got.took < 800*time.Millisecond, "%v", got.took)
+				assert.Assert(t, got.took < route.Timeout+500*time.Millisecond, "%v", got.took)
 			})
 		}
 		t.Run(kind+", queued", func(t *testing.T) {
+			t.Parallel()
 			a := newBackend(t, "a", hang)
 			e := newEntry(t, route, a)
 			one := a.endpoint("s")
@@ -92,3 +98,34 @@
 		time.Sleep(finalAnswerTime)
 	}
 }
+
+// openWithPartOfBody connects and sends the head and a part of the body of a request.
+func (e *entry) openWithPartOfBody() net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(e.server.URL, "http://"))
+	assert.NilError(e.t, err)
+	e.t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprint(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nRequest: r\r\nKey: key-a\r\nContent-Length: 8\r\n\r\nhalf")
+	assert.NilError(e.t, err)
+	return c
+}
+
+// TestBodyThatDoesNotArriveIsAnswered guards against a client that stops sending its body and whose
+// connection is closed without an answer when the time is over.
+func TestBodyThatDoesNotArriveIsAnswered(t *testing.T) {
+	for kind, route := range kinds {
+		route.Timeout = 200 * time.Millisecond
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			a := newBackend(t, "a", respondOK("ok"))
+			e := newEntry(t, route, a)
+			c := e.openWithPartOfBody()
+			began := time.Now()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+			assert.Assert(t, resp.Close)
+			assert.Assert(t, time.Since(began) < route.Timeout+500*time.Millisecond, "%v", time.Since(began))
+			assert.Equal(t, len(a.requests()), 0)
+		})
+	}
+}
