A planned stop answers every request before the process ends

Callers whose requests came late in the grace of a stop were passed on, and found their connection closed without an answer when the grace ended, those that may run only once among them. The process ended at or after the end of its grace.

Cause: the shutdown waited for the requests in flight until the grace was over and then ended the process. Nothing bounded the requests themselves: not the choice whether to send one, not the time to send a body, not the answer.

Ruled out: requests that come before the stop (their own deadlines are shorter than the grace or they are excused), connections that are just being accepted (the listener stays open for 2.3 s after readiness fails).

Change: the handler is told when it has to be done, one second before the end of the grace. From SIGTERM on, a request is sent to an endpoint only if it can be expected to be done by then: by its own deadline, or by how long answers of the service take (mean and two deviations). Otherwise it gets 503 at once, as not run, also while it waits for a slot or sends its body. At that time all that are left are answered: 503 if no endpoint may have run them, else 504; a stream that has begun is broken off. Connections are closed 300 ms before the end of the grace, and leaving the fleet cannot outlast it.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -28,7 +28,7 @@
 			h.endQuarantined(w, q, v)
 			return
 		}
-		slot, d := q.service.Acquire(ctx, q.schedulerRequest(), h.queued(q))
+		slot, d := h.acquire(ctx, q, q.schedulerRequest())
 		switch {
 		case slot != nil:
 		case ctx.Err() != nil:
@@ -113,7 +113,7 @@
 	if errors.Is(err, errStreamSilent) || errors.Is(err, errAttemptTimeout) {
 		return Hung
 	}
-	if errors.Is(err, errQuarantined) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, errQuarantined) || errors.Is(err, errStopping) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return Neutral
 	}
 	return Failed
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -47,6 +47,7 @@
 	requestLog requestLog
 	directory  *Directory
 	table      atomic.Pointer[routes.Table]
+	drain      *drain
 
 	mu       sync.RWMutex // locked before Directory.mu and Service.mu
 	services map[id.Service]*Service
@@ -57,7 +58,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	return &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source), services: make(map[id.Service]*Service)}
+	return &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source), services: make(map[id.Service]*Service), drain: newDrain()}
 }
 
 // SetTable applies a version of the configuration.
@@ -162,10 +163,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer h.drain.endAtDrain(end)()
 	if len(q.parts) > 0 {
-		var end context.CancelCauseFunc
-		ctx, end = context.WithCancelCause(ctx)
-		defer end(nil)
 		q.service.quarantine.watch(q, end)
 		defer q.service.quarantine.unwatch(q)
 		defer q.service.quarantine.end(q)
@@ -213,7 +214,7 @@
 		host: r.Host, header: endToEndHeader(r.Header), began: began, deadline: began.Add(requestTimeout(info, route)),
 		parts: quarantine.Parts(info.SharedParts),
 	}
-	if q.body, err = readBody(w, r, table.Limits().MaxBodyBytes, q.deadline); err != nil {
+	if q.body, err = h.readBody(w, r, table.Limits().MaxBodyBytes, q); err != nil {
 		h.bodyError(w, r, info, err)
 		return nil, false
 	}
@@ -231,14 +232,19 @@
 	return timeout
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+// readBody reads the body of a client's request within the request's time, and while it may still be
+// sent to an endpoint.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, q *request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(deadline); err != nil {
+	deadline := bodyDeadline{rc: http.NewResponseController(w)}
+	if err := deadline.set(q.deadline); err != nil {
 		return nil, errors.Wrap(err, "read deadline")
 	}
+	defer context.AfterFunc(h.drain.begun, func() {
+		_ = deadline.set(h.drain.lastStart(q)) // It fails only if the connection is closed.
+	})()
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
@@ -247,7 +253,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return b, rc.SetReadDeadline(time.Time{})
+	return b, deadline.clear()
 }
 
 func (h *Handler) bodyError(w http.ResponseWriter, r *http.Request, info RequestInfo, err error) {
@@ -259,12 +265,16 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		panic(http.ErrAbortHandler) // The client disconnected.
 	}
+	status, text := http.StatusRequestTimeout, "the body did not arrive in time"
+	if h.drain.isBegun() {
+		status, text = http.StatusServiceUnavailable, string(reasonStopping)
+	}
 	// The rest of the body may still be on its way. A connection that is closed before it is read
 	// is reset, and the client may never see the answer.
 	rc := http.NewResponseController(w)
 	w.Header().Set("Connection", "close")
 	_ = rc.EnableFullDuplex() // Supported by HTTP/1.
-	h.reject(w, r, info, http.StatusRequestTimeout, "the body did not arrive in time")
+	h.reject(w, r, info, status, text)
 	if rc.Flush() == nil && rc.SetReadDeadline(time.Now().Add(unreadBodyTime)) == nil {
 		_, _ = io.Copy(io.Discard, r.Body) // Nobody needs it.
 	}
--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -92,9 +92,17 @@
 
 // endExpired ends a request whose context is done. A disconnected client gets no response.
 func (h *Handler) endExpired(ctx context.Context, w http.ResponseWriter, q *request) {
-	if errors.Is(context.Cause(ctx), errQuarantined) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errQuarantined):
 		h.endQuarantined(w, q, q.service.quarantine.refusal(q))
 		return
+	case errors.Is(cause, errStopping) && q.sent == q.refused:
+		h.refuse(w, q, scheduler.Decision{Reason: reasonStopping})
+		return
+	case errors.Is(cause, errStopping):
+		h.drain.countCutOff()
+		h.failUnknown(w, q, http.StatusGatewayTimeout, errStopping)
+		return
 	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		h.requestLog.abandoned(q)
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex // leaf lock; guards all below
 	config    routes.Service
 	scheduler *scheduler.Scheduler
+	durations durationStats
 	detector  *outlier.Detector
 	window    *retry.Window
 	backends  map[id.Endpoint]*Backend
@@ -256,6 +257,9 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.scheduler.RecordEnd(x.Backend.Name, x.request, x.answered, now-x.started, now)
+	if o == Succeeded {
+		s.durations.add(now - x.started)
+	}
 	if until := s.suspectUntil(x.Backend.Name, o, now); until > now {
 		s.scheduler.Suspect(x.Backend.Name, until)
 	}
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -56,7 +56,7 @@
 			h.endBlocked(w, q, s, v)
 			return
 		}
-		slot, d := q.service.Acquire(ctx, s.schedulerRequest(q), h.queued(q))
+		slot, d := h.acquire(ctx, q, s.schedulerRequest(q))
 		if slot == nil {
 			h.endStream(ctx, w, q, s, d, resp, err)
 			return
@@ -112,6 +112,9 @@
 func (h *Handler) endStream(ctx context.Context, w http.ResponseWriter, q *request, s *streamWriter, d scheduler.Decision, resp *response, err error) {
 	switch {
 	case s.headerSent:
+		if errors.Is(context.Cause(ctx), errStopping) {
+			h.drain.countCutOff()
+		}
 		h.requestLog.broken(q, s, d, err)
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil:
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -337,20 +337,39 @@
 	}
 }
 
-// unreadyDetectionTime is the time the platform takes to detect that an entry is no
-// longer ready: it checks every second and requires two failures.
-const unreadyDetectionTime = 2300 * time.Millisecond
+const (
+	// unreadyDetectionTime is the time the platform takes to detect that an entry is no
+	// longer ready: it checks every second and requires two failures.
+	unreadyDetectionTime = 2300 * time.Millisecond
+	// answerMargin is the time before the end of the shutdown at which the last requests are
+	// answered. It covers the delivery of the answers, and closeMargin.
+	answerMargin = time.Second
+	// closeMargin is the time before the end of the shutdown at which connections are closed. It
+	// covers the calls by which an entry leaves the fleet.
+	closeMargin = 300 * time.Millisecond
+	// maxMarginFraction bounds the margins as a fraction of a short shutdown.
+	maxMarginFraction = 8
+)
 
-// Shutdown implements process.Daemon. It accepts new connections until the platform
-// has had time to detect that the entry is not ready.
+// Shutdown implements process.Daemon. It accepts new connections until the platform has had time
+// to detect that the entry is not ready, and answers all requests before ctx ends.
 func (e *Edge) Shutdown(ctx context.Context) error {
 	e.leaving.Store(true)
 	e.groups.stop()
 	e.clients.drain()
+	answerBy, closeBy := shutdownTimes(ctx, time.Now())
+	e.handler.Drain(ctx, answerBy)
 	pause(ctx, unreadyDetectionTime)
-	err := e.clients.server.Shutdown(ctx)
+	closing, cancel := context.WithDeadline(context.WithoutCancel(ctx), closeBy)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(answerMargin, cancel) })() // A second signal.
+	err := e.clients.server.Shutdown(closing)
+	if n := e.handler.CutOff(); n > 0 {
+		err = errors.Newf("%d requests had no result when the time was over", n)
+	}
+	_ = e.clients.server.Close()
 	e.cancel()
-	e.wg.Wait()
+	awaitUntil(ctx, e.wg.Wait)
 	_ = e.controlServer.Close()
 	_ = e.metricsServer.Close()
 	e.pool.Close()
@@ -359,6 +378,33 @@
 	return err
 }
 
+// shutdownTimes returns the times by which a shutdown answers its requests and closes its
+// connections.
+func shutdownTimes(ctx context.Context, now time.Time) (answerBy, closeBy time.Time) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = now.Add(defaultShutdownTime)
+	}
+	most := end.Sub(now) / maxMarginFraction
+	return end.Add(-min(answerMargin, most)), end.Add(-min(closeMargin, most))
+}
+
+// defaultShutdownTime bounds a shutdown without a deadline.
+const defaultShutdownTime = 30 * time.Second
+
+// awaitUntil waits until f returns or ctx ends.
+func awaitUntil(ctx context.Context, f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Reload implements process.Daemon. Settings never change at run time: the platform
 // starts a new process at another address instead.
 func (e *Edge) Reload() error { return nil }
