Answers that are written while an entry stops announce the close

Clients whose request had arrived before SIGTERM got an answer that announced a kept connection, and sent their next request on it just when it was closed.

Cause: the header was set when a request arrived, not when its answer was written.

The writer that decides it now would have hidden the server's own one from http.MaxBytesReader, which closes connections without a reset through it; TestTooLargeBodyIsAnswered checks that it does not.

--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -247,7 +247,7 @@
 	})()
 	body := io.Reader(r.Body)
 	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
+		body = http.MaxBytesReader(serverWriter(w), r.Body, limit)
 	}
 	b, err := io.ReadAll(body)
 	if err != nil {
@@ -256,6 +256,18 @@
 	return b, deadline.clear()
 }
 
+// serverWriter returns the server's own writer, by which http.MaxBytesReader has the connection
+// closed in good order.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = u.Unwrap()
+	}
+}
+
 func (h *Handler) bodyError(w http.ResponseWriter, r *http.Request, info RequestInfo, err error) {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/entry/edge/clients.go
+++ b/entry/edge/clients.go
@@ -49,18 +49,47 @@
 // at its default.
 func (c *clientServer) setLimits(l routes.Limits) { c.limits.Store(&l) }
 
-// wrap announces the idle timeout, or while draining the end of the connection.
+// wrap makes all responses announce the idle timeout, or while draining the end of the connection.
 func (c *clientServer) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c.draining.Load() {
-			w.Header().Set("Connection", "close")
-		} else if idle := c.limits.Load().IdleTimeout; idle >= time.Second {
-			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
-		}
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(&announcer{ResponseWriter: w, server: c}, r)
 	})
 }
 
+// announcer announces what becomes of the connection when the header of a response is written.
+type announcer struct {
+	http.ResponseWriter
+	server *clientServer
+	done   bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (a *announcer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *announcer) WriteHeader(status int) {
+	a.announce()
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *announcer) Write(b []byte) (int, error) {
+	a.announce()
+	return a.ResponseWriter.Write(b)
+}
+
+func (a *announcer) announce() {
+	if a.done {
+		return
+	}
+	a.done = true
+	if a.server.draining.Load() {
+		a.Header().Set("Connection", "close")
+	} else if idle := a.server.limits.Load().IdleTimeout; idle >= time.Second {
+		a.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
+	}
+}
+
 func (c *clientServer) track(conn net.Conn, s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
