Test of a body that is too large: fails now without its guard

With 1,000,000 bytes announced, net/http closes the connection by itself and the test passed without serverWriter too. With 100,000 it fails then (no answer within 2 s) and passes with it.

--- a/entry/direct/timeout_test.go
+++ b/entry/direct/timeout_test.go
@@ -135,8 +135,8 @@
 
 func (w wrappedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// TestTooLargeBodyIsAnswered guards against a connection that is reset while the client still sends
-// a body that is too large, so that the client does not see why.
+// TestTooLargeBodyIsAnswered guards against a client that sends a body that is too large and gets its
+// answer only after all of it, or none because the connection is reset.
 func TestTooLargeBodyIsAnswered(t *testing.T) {
 	e := newEntry(t, idempotent, newBackend(t, "a", respondOK("ok")))
 	inner := e.server.Config.Handler
@@ -144,11 +144,12 @@
 	c, err := net.Dial("tcp", strings.TrimPrefix(e.server.URL, "http://"))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
-	_, err = fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nRequest: r\r\nKey: key-a\r\nContent-Length: 1000000\r\n\r\n%s", strings.Repeat("x", 2000))
+	_, err = fmt.Fprintf(c, "POST /r/x HTTP/1.1\r\nHost: h.example\r\nRequest: r\r\nKey: key-a\r\nContent-Length: 100000\r\n\r\n%s", strings.Repeat("x", 2000))
 	assert.NilError(t, err)
 	time.Sleep(50 * time.Millisecond)
 	_, err = fmt.Fprint(c, strings.Repeat("x", 2000)) // A reset would show here or at the next call.
 	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
