A relay that stops sends the results of the orders that it has begun

Entries that had an order on its way when a relay stopped did not learn whether the rank had carried it out, and the group waited until they had found out.

Cause: the end of the relay's context ended its orders and closed the connections.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -59,7 +59,8 @@
 	return &Server{engine: e, newClient: newClient, clients: make(map[string]relay.Engine), Report: report}
 }
 
-// Listen accepts connections at an address until ctx ends.
+// Listen accepts connections at an address until ctx ends. Then it reads no more orders, and returns
+// once the entries have the results of those that it has read.
 func (s *Server) Listen(ctx context.Context, address string) error {
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
@@ -69,6 +70,8 @@
 		return err
 	}
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -77,7 +80,7 @@
 			}
 			return err
 		}
-		go s.serve(ctx, c)
+		sessions.Go(func() { s.serve(ctx, c) })
 	}
 }
 
@@ -91,17 +94,23 @@
 	watches chan relay.Watch
 	// ordered signals the sampler that an order was received.
 	ordered chan struct{}
+	// orders counts the orders whose result has not been sent.
+	orders sync.WaitGroup
 }
 
-func (s *Server) serve(ctx context.Context, c net.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
+func (s *Server) serve(stop context.Context, c net.Conn) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	defer func() { _ = c.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	defer context.AfterFunc(stop, func() { _ = c.SetReadDeadline(time.Now()) })() // Fails if closed.
 	s.Report("entry.connected", nil)
 	x := &session{server: s, conn: c, watches: make(chan relay.Watch, 1), ordered: make(chan struct{}, 1)}
 	go x.runSampler(ctx)
-	s.Report("entry.disconnected", x.readMessages(ctx))
+	err := x.readMessages(ctx)
+	if stop.Err() != nil {
+		x.orders.Wait() // Each is bounded by callTimeout.
+	}
+	s.Report("entry.disconnected", err)
 }
 
 // readMessages handles messages until the connection ends.
@@ -119,7 +128,7 @@
 			case x.ordered <- struct{}{}:
 			default: // A signal is already pending.
 			}
-			go x.handleOrder(ctx, *m.Order)
+			x.orders.Go(func() { x.handleOrder(ctx, *m.Order) })
 		case m.Watch != nil:
 			select {
 			case <-x.watches: // Replace an earlier watch that the sampler has not received.
