A coordinator that leaves finishes the change that holds its group

Callers' streams stood still for five seconds, until their time was over, while three entries were stopped shortly after each other.

Cause: the entry that coordinated the group stopped between the hold and the release of a change. Its session ended at once, and the release was left to the next holder of the lease.

Ruled out: the deadline of the stop (no stream reached it), the endpoints (no fault was injected there).

Change: a session that is asked to leave gives up what holds no group, and ends a change that does, up to its release or undoing, within 500 ms. It plans nothing new. A session whose lease is lost still ends at once.

--- a/entry/expertmaps/bench_test.go
+++ b/entry/expertmaps/bench_test.go
@@ -92,7 +92,7 @@
 func (f *fakeRanks) step() {
 	for range 6 {
 		f.now += 15 * time.Millisecond
-		f.session.advance(f.now)
+		f.session.advance(f.now, true)
 	}
 	for r, l := range f.links {
 		f.states[r].Step++
@@ -101,6 +101,6 @@
 			e.Sample = &relay.Sample{Epoch: 1, Levels: f.levels}
 		}
 		f.session.handle(e, f.now)
-		f.session.advance(f.now)
+		f.session.advance(f.now, true)
 	}
 }
--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -161,7 +161,7 @@
 
 // Run works until ctx ends, then releases the lease.
 func (c *Coordinator) Run(ctx context.Context) {
-	var stop context.CancelFunc = func() {}
+	var current *session
 	var running uint64
 	tick := time.NewTicker(c.opt.Config.LeaseTTL / leaseChecksPerTTL)
 	defer tick.Stop()
@@ -171,13 +171,13 @@
 		}
 		token := c.currentToken(running)
 		if token != running {
-			stop()
-			stop = c.startSession(ctx, token)
+			current.stop()
+			current = c.startSession(ctx, token)
 			running = token
 		}
 		select {
 		case <-ctx.Done():
-			stop()
+			current.finish()
 			c.token.Store(0)
 			c.release()
 			return
@@ -218,23 +218,25 @@
 	return c.lease.AcquireOrRenew(ctx)
 }
 
-// startSession runs a session under a token. Zero means that the lease was lost.
-func (c *Coordinator) startSession(ctx context.Context, token uint64) context.CancelFunc {
+// startSession runs a session under a token. Zero means that the lease was lost; there is no
+// session then. The session goes on after ctx.
+func (c *Coordinator) startSession(ctx context.Context, token uint64) *session {
 	log := c.opt.Log.With().Str("service", string(c.opt.Service)).Str("group", string(c.opt.Group)).Logger()
 	if token == 0 {
 		log.Info().Str("event", "lease.lost").Str("holder", c.lease.Holder()).Send()
-		return func() {}
+		return nil
 	}
 	log.Info().Str("event", "lease.held").Uint64("lease", token).Send()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s := &session{
+		cancel: cancel, leave: make(chan struct{}), ended: make(chan struct{}),
 		cfg: c.opt.Config, name: c.opt.Group, engine: c.opt.Engine, token: token, log: log, set: c.opt.Metrics, list: c.opt.List, engineClient: c.opt.EngineClient, source: c.opt.Source,
 		events: make(chan ranklink.Event, eventQueue),
 		links:  make(map[id.Endpoint]*ranklink.Link), layouts: make(map[*ranklink.Link]relay.Layout),
 		groups: make(map[id.Group]*group), pending: make(map[uint64]pendingOrder),
 	}
 	go s.run(ctx)
-	return cancel
+	return s
 }
 
 // releaseTimeout bounds the release of the lease at shutdown.
--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -204,13 +204,13 @@
 	return g.expertSlotsSuffice() && g.mapSwitch.Phase() != mapswitch.Idle
 }
 
-// advance plans if no change is in progress, and returns the orders to send.
-func (g *group) advance(now time.Duration) []mapswitch.Order {
+// advance plans if that is asked and no change is in progress, and returns the orders to send.
+func (g *group) advance(now time.Duration, plan bool) []mapswitch.Order {
 	if !g.expertSlotsSuffice() {
 		return nil
 	}
 	orders := g.mapSwitch.Tick(now)
-	if g.mapSwitch.Phase() == mapswitch.Idle && g.startChange(now) {
+	if plan && g.mapSwitch.Phase() == mapswitch.Idle && g.startChange(now) {
 		orders = append(orders, g.mapSwitch.Tick(now)...)
 	}
 	for _, e := range g.mapSwitch.Events() {
--- a/entry/expertmaps/group_test.go
+++ b/entry/expertmaps/group_test.go
@@ -41,14 +41,14 @@
 func TestGroupWithTooFewSlotsGetsNoOrders(t *testing.T) {
 	g := newOpenGroup(t, 4, 3, 16)
 	for now := time.Duration(0); now < time.Second; now += tickInterval {
-		assert.Equal(t, len(g.advance(now)), 0)
+		assert.Equal(t, len(g.advance(now, true)), 0)
 	}
 	assert.Assert(t, !g.changing())
 }
 
 func TestGroupWithEnoughSlotsGetsPrepareOrders(t *testing.T) {
 	g := newOpenGroup(t, 4, 4, 16)
-	orders := g.advance(tickInterval)
+	orders := g.advance(tickInterval, true)
 	assert.Equal(t, len(orders), 4)
 	for _, o := range orders {
 		assert.Equal(t, o.Op, mapswitch.Prepare)
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -27,6 +27,10 @@
 	engineClient func(address string) relay.Engine
 	source       netip.Addr
 
+	cancel context.CancelFunc
+	// leave is closed to end the session once it holds no group; ended is closed at its end.
+	leave, ended chan struct{}
+
 	events chan ranklink.Event
 	links  map[id.Endpoint]*ranklink.Link
 	// positions holds the position of each endpoint in the list.
@@ -58,13 +62,47 @@
 	tickInterval = 10 * time.Millisecond
 	// idleTickInterval is the tick while no change is in progress.
 	idleTickInterval = 50 * time.Millisecond
+	// finishTimeout bounds the rest of a change that holds a group when the coordinator leaves.
+	// From the hold to the release it takes two round trips to the farthest rank.
+	finishTimeout = 500 * time.Millisecond
 	// orderResultTimeout is the time after which the result of an order is ignored.
 	orderResultTimeout = 20 * time.Second
 )
 
+// stop ends the session at once. There may be none.
+func (s *session) stop() {
+	if s != nil {
+		s.cancel()
+	}
+}
+
+// finish ends the session when it holds no group, and returns after its end. Changes that hold
+// none are given up. There may be no session.
+func (s *session) finish() {
+	if s == nil {
+		return
+	}
+	close(s.leave)
+	<-s.ended
+}
+
+// holdsGroup reports whether a group waits for a release.
+func (s *session) holdsGroup() bool {
+	for _, g := range s.groups {
+		switch g.mapSwitch.Phase() {
+		case mapswitch.Holding, mapswitch.Arming, mapswitch.Deciding, mapswitch.Undoing, mapswitch.Releasing:
+			return true
+		case mapswitch.Learning, mapswitch.Recovering, mapswitch.Idle, mapswitch.Preparing, mapswitch.Settling:
+		}
+	}
+	return false
+}
+
 func (s *session) run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	defer close(s.ended)
+	defer s.cancel()
+	leave := s.leave
+	var finishBy <-chan time.Time
 	began := time.Now()
 	listed := -relistInterval
 	timer := time.NewTimer(0)
@@ -73,16 +111,24 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-finishBy:
+			s.log.Warn().Str("event", "map.left_held").Msg("the group may be held until another coordinator releases it")
+			return
+		case <-leave:
+			leave, finishBy = nil, time.After(finishTimeout)
 		case e := <-s.events:
 			s.handleBatch(e, began)
 		case <-timer.C:
 		}
+		if finishBy != nil && !s.holdsGroup() {
+			return
+		}
 		now := time.Since(began)
 		if now-listed >= relistInterval {
 			listed = now
 			s.relist(ctx, now)
 		}
-		if s.advance(now) {
+		if s.advance(now, finishBy == nil) {
 			timer.Reset(tickInterval)
 		} else {
 			timer.Reset(idleTickInterval)
@@ -229,10 +275,12 @@
 }
 
 // advance sends the orders that are due and reports whether a change is in progress.
-func (s *session) advance(now time.Duration) bool {
+// advance sends the orders that are due, and reports whether a change is in progress. New ones are
+// started only if plan is true.
+func (s *session) advance(now time.Duration, plan bool) bool {
 	busy := false
 	for _, g := range s.groups {
-		for _, o := range g.advance(now) {
+		for _, o := range g.advance(now, plan) {
 			s.send(g, o, now)
 		}
 		busy = busy || g.changing()
--- a/itest/maps/coordinator_test.go
+++ b/itest/maps/coordinator_test.go
@@ -212,3 +212,23 @@
 	s.await("no rank holds the group", 3*time.Second, func() bool { return !s.group.Status().Held })
 	s.awaitBalance(5 * time.Second)
 }
+
+// TestLeavingCoordinatorHoldsNothing guards against a coordinator that leaves in the middle of a
+// change: its streams stand still until another entry holds the lease, and while all entries are
+// stopped one after the other there is none for seconds.
+func TestLeavingCoordinatorHoldsNothing(t *testing.T) {
+	s := newSite(t)
+	for range 15 {
+		_, stop := s.startCoordinator("h1", &peers{})
+		s.awaitBalance(10 * time.Second)
+		s.group.ShiftPopularity()
+		for end := time.Now().Add(3 * time.Second); !s.group.Status().Held && time.Now().Before(end); {
+			time.Sleep(100 * time.Microsecond)
+		}
+		began := time.Now()
+		stop()
+		assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "it left after %v", time.Since(began))
+		assert.Assert(t, !s.group.Status().Held, "the group is held, and nobody is left to release it")
+	}
+	assert.Equal(t, len(s.group.Status().Violations), 0, "%v", s.group.Status().Violations)
+}
