Soak: clients that still send their body when an entry stops, and strict stops

The soak's clients sent their requests at once, and a stop was checked for requests that began in its first three seconds only. Now three clients an entry send the second half of a request up to 7 s later, on connections of their own, and no request may end without an answer while its entry stops, whenever it began.

--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -155,7 +155,7 @@
 		return
 	}
 	stops := r.record.stopping[x.Entry]
-	if !slices.ContainsFunc(stops, func(s span) bool { return s.overlaps(x.Start, x.End) && x.Start.Before(s.from.Add(3*time.Second)) }) {
+	if !overlap(stops, x.Start, x.End) {
 		return
 	}
 	passedOn := len(r.record.arrivals[x.ID]) > 0
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -22,13 +22,16 @@
 	timeout time.Duration
 	// abortProbability is the share of requests that the client cancels early.
 	abortProbability float64
+	// maxBodyDelay is the longest time between the head and the body of a request.
+	maxBodyDelay time.Duration
 }
 
 // clientProfiles load the site below its capacity, except for short peaks and surges.
 var clientProfiles = []clientProfile{
-	{Chat, 14, 600 * time.Millisecond, 5 * time.Second, 0.03},
-	{Issue, 4, 250 * time.Millisecond, time.Second, 0.03},
-	{Look, 3, 250 * time.Millisecond, time.Second, 0.03},
+	{Chat, 14, 600 * time.Millisecond, 5 * time.Second, 0.03, 0},
+	{Issue, 4, 250 * time.Millisecond, time.Second, 0.03, 0},
+	{Look, 3, 250 * time.Millisecond, time.Second, 0.03, 0},
+	{Issue, 3, 100 * time.Millisecond, 8 * time.Second, 0, 7 * time.Second}, // Still sending when an entry stops.
 }
 
 const (
@@ -95,6 +98,9 @@
 	x := &exchange{Request: Request{
 		ID: id.Request(fmt.Sprintf("%s-%d", m.kind, l.ids.Add(1))), Kind: m.kind, Key: r.site.StableKey(), Timeout: m.timeout,
 	}, Entry: entry, Start: time.Now()}
+	if m.maxBodyDelay > 0 {
+		x.BodyDelay = time.Duration(rng.Float64() * float64(m.maxBodyDelay))
+	}
 	if rng.Float64() < generationKeyShare {
 		x.Key = r.site.Key(r.generation())
 	}
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -66,6 +66,8 @@
 	Key string
 	// Timeout is the time for which the client waits for the answer.
 	Timeout time.Duration
+	// BodyDelay is the time between the head and the body.
+	BodyDelay time.Duration
 }
 
 // Reply is the outcome of a request at the client.
