A further try of a request that may run once has a connection of its own

Callers' streams that may not be resumed ran twice. A rank refused a request, because its group was down, and wrote that refusal once more when the same request came again on the same connection, before it ran it. The second refusal was taken for the answer and the request was sent a third time.

Cause: only requests that had excluded an endpoint took a new connection, and a group that is down excludes none. The ID of both answers is the same, so that the check of the request's ID cannot tell them apart.

Change: each further try of a request that may run once opens a connection. Others are not changed: a second run of them breaks no promise, and connections have their price.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -131,9 +131,11 @@
 	}
 	h.opt.Codec.WriteForward(header, f)
 	out := &upstream.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body}
-	// A reused connection may be dead unnoticed. Requests that must not be repeated
-	// or have failed before use a new one.
-	fresh := q.route.Kind == routes.NonIdempotent || len(q.excluded) > 0
+	// A reused connection may be dead unnoticed. Requests that must not be repeated or have failed
+	// before use a new one. So do further tries of those that may run once: on a connection that
+	// carried an earlier try, a late copy of its refusal could be taken for the answer.
+	once := !q.route.Retryable()
+	fresh := q.route.Kind == routes.NonIdempotent || len(q.excluded) > 0 || once && q.sent > 0
 	x, err := slot.Backend.Pool.Do(ctx, out, fresh)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
--- a/entry/direct/framing_test.go
+++ b/entry/direct/framing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,6 +54,7 @@
 		if err != nil {
 			return
 		}
+		r.RemoteAddr = c.RemoteAddr().String()
 		_, _ = io.Copy(io.Discard, r.Body)
 		answer := strings.ReplaceAll(answers(int(b.runs.Add(1)), r), "ID", r.Header.Get("Request"))
 		answer, closes := strings.CutSuffix(answer, "CLOSE")
@@ -132,6 +134,50 @@
 	}
 }
 
+// TestRefusalOfEarlierTryIsNotBelieved guards against a faulty endpoint that writes its refusal of a
+// request once more when the same request comes again on the same connection, and then runs it: the
+// second refusal is taken for the answer, and the request runs twice.
+func TestRefusalOfEarlierTryIsNotBelieved(t *testing.T) {
+	for kind, route := range kinds {
+		if route.Retryable() {
+			continue // May run more than once.
+		}
+		t.Run(kind, func(t *testing.T) {
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nAt-Fault: z\r\nRequest: ID\r\nContent-Length: 0\r\n\r\n"
+			answer := okHead + "Content-Length: 2\r\n\r\nok"
+			if route.Kind == routes.Streaming {
+				answer = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", streamHead, len(wantEvents(1, 1)), wantEvents(1, 1))
+			}
+			var runs atomic.Int64
+			// Requests are told apart by their connection, as this fault needs the same one.
+			refused := make(map[string]bool)
+			var mu sync.Mutex
+			a := newRawBackend(t, func(n int, r *http.Request) string {
+				mu.Lock()
+				defer mu.Unlock()
+				again := refused[r.RemoteAddr]
+				if n == 2 {
+					refused[r.RemoteAddr] = true
+					return refusal
+				}
+				if n > 2 {
+					runs.Add(1)
+				}
+				if again {
+					return refusal + answer
+				}
+				return answer
+			})
+			e := newEntry(t, route)
+			e.handler.SetEndpoints([]Endpoint{a.endpoint("a")})
+			assert.Equal(t, e.send(http.MethodPost, "Request: first").status, 200) // Leaves a connection to be used again.
+			got := e.send(http.MethodPost, "Request: second")
+			assert.Equal(t, got.status, 200, "%v", got)
+			assert.Equal(t, runs.Load(), int64(1))
+		})
+	}
+}
+
 // TestBegunStreamHoldsNoForeignBytes guards against streams that break off and in which clients
 // then find the answer of the next endpoint, or which end as if they were complete.
 func TestBegunStreamHoldsNoForeignBytes(t *testing.T) {
