--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -154,7 +153,7 @@
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if now.Sub(c.idleSince) < c.idleTimeout && isIdle(c.Conn) {
+		if now.Sub(c.idleSince) < c.idleTimeout && dial.IsIdle(c.Conn) {
 			return c
 		}
 		p.discard(c)
@@ -224,24 +223,3 @@
 		p.discard(c)
 	}
 }
-
-// isIdle reports whether a pooled connection is open and has no unread bytes, which
-// would belong to no request.
-func isIdle(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var waiting bool
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && waiting
-}
