The test of polls after an order waits for the last poll of the window

TestPollsAtChangeIntervalAfterOrder failed now and then: it slept for the change window and then expected no poll, but the last poll of the window may begin one change interval after it. It now waits until there has been no poll for 300 ms, at most a second after the window, and then checks as before that nothing is polled.

--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -26,8 +26,8 @@
 	orders []relay.Order
 	// other is the rank at any other address.
 	other *fakeEngine
-	// countsCalls is the number of calls of Counts.
-	countsCalls int
+	// stateCalls and countsCalls are the numbers of calls of State and Counts.
+	stateCalls, countsCalls int
 }
 
 // awaitCounts waits until Counts was called n times.
@@ -42,6 +42,22 @@
 	}
 }
 
+// awaitNoPoll waits until State was not called for a while. It fails if that takes longer than limit.
+func (e *fakeEngine) awaitNoPoll(t *testing.T, quiet, limit time.Duration) {
+	t.Helper()
+	calls, since := -1, time.Now()
+	for end := time.Now().Add(limit); time.Since(since) < quiet; time.Sleep(5 * time.Millisecond) {
+		n := 0
+		e.set(func() { n = e.stateCalls })
+		if n != calls {
+			calls, since = n, time.Now()
+		}
+		if time.Now().After(end) {
+			t.Fatalf("State was called %d times and is still polled", n)
+		}
+	}
+}
+
 func (e *fakeEngine) set(change func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -51,6 +67,7 @@
 func (e *fakeEngine) State(context.Context) (relay.State, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stateCalls++
 	return e.state, e.err
 }
 
@@ -179,7 +196,8 @@
 	x.next("result", func(m relay.FromRelay) bool { return m.Result != nil })
 	e.set(func() { e.state.Prepared = 3 })
 	x.next("state of the change", func(m relay.FromRelay) bool { return m.State != nil && m.State.Prepared == 3 })
-	time.Sleep(changeWindow)
+	// The last poll of the window is armed before its end and may begin after it.
+	e.awaitNoPoll(t, 300*time.Millisecond, changeWindow+time.Second)
 	e.set(func() { e.state.Step = 9 })
 	assert.NilError(t, x.conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
 	for x.lines.Scan() {
