--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -347,8 +347,8 @@
 	// closeMargin is the time before the end of the shutdown at which connections are closed. It
 	// covers the calls by which an entry leaves the fleet.
 	closeMargin = 300 * time.Millisecond
-	// maxMarginFraction bounds the margins as a fraction of a short shutdown.
-	maxMarginFraction = 8
+	// marginDivisor bounds the margins of a short shutdown: each is at most this part of it.
+	marginDivisor = 8
 )
 
 // Shutdown implements process.Daemon. It accepts new connections until the platform has had time
@@ -385,7 +385,7 @@
 	if !ok {
 		end = now.Add(defaultShutdownTime)
 	}
-	most := end.Sub(now) / maxMarginFraction
+	most := end.Sub(now) / marginDivisor
 	return end.Add(-min(answerMargin, most)), end.Add(-min(closeMargin, most))
 }
 
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -274,7 +274,6 @@
 	return g
 }
 
-// advance sends the orders that are due and reports whether a change is in progress.
 // advance sends the orders that are due, and reports whether a change is in progress. New ones are
 // started only if plan is true.
 func (s *session) advance(now time.Duration, plan bool) bool {
