The bound on a body's time cannot strike after the body was read

A client whose request arrived while an entry stopped, too late to be sent on, now and then found its connection closed instead of the 503.

Cause: the read deadline of the connection bounded the time for a body. net/http begins to watch the connection for a disconnect as soon as the body has been read; a deadline that passes before it was taken back looks like one, and the request's context ends. The planned stop set deadlines in the past.

Ruled out: the refusal itself (the request's log line is that of an abandoned request), the client (its error is EOF).

Change: a timer decides that a body is late, under a lock with the end of the reading. The read deadline is set only then, when the answer is settled.

--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -123,29 +123,34 @@
 	return nil, scheduler.Decision{Reason: reasonStopping}
 }
 
-// bodyDeadline bounds the time in which a client may send its body. It is safe for concurrent use.
-type bodyDeadline struct {
-	mu   sync.Mutex
-	rc   *http.ResponseController
-	at   time.Time
-	done bool
+// errBodyLate reports that a body was not complete when it was too late for its request.
+var errBodyLate = errors.New("the body did not arrive in time")
+
+// bodyBound ends the reading of a body when it is too late for its request. The read deadline of the
+// connection is set only then: one that passes just after the body was read would look like the
+// client's disconnect.
+type bodyBound struct {
+	rc *http.ResponseController
+
+	mu         sync.Mutex
+	done, late bool
 }
 
-// set moves the deadline forward, unless the body has been read.
-func (b *bodyDeadline) set(at time.Time) error {
+// expire ends the reading, unless the body is complete.
+func (b *bodyBound) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.done || !b.at.IsZero() && at.After(b.at) {
-		return nil
+	if b.done {
+		return
 	}
-	b.at = at
-	return b.rc.SetReadDeadline(at)
+	b.late = true
+	_ = b.rc.SetReadDeadline(time.Now()) // It fails only if the connection is closed.
 }
 
-// clear ends the bound after the body.
-func (b *bodyDeadline) clear() error {
+// complete reports whether the body was read in time.
+func (b *bodyBound) complete() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.done = true
-	return b.rc.SetReadDeadline(time.Time{})
+	return !b.late
 }
--- a/entry/direct/drain_test.go
+++ b/entry/direct/drain_test.go
@@ -191,3 +191,21 @@
 	assert.Equal(t, e.send(http.MethodPost).status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(a.requests()), 1)
 }
+
+// TestDrainAnswersRequestsThatAreJustRead guards against a bound on the time for a body that strikes
+// just after the body was read: net/http takes it for a disconnect, and the client gets no answer.
+func TestDrainAnswersRequestsThatAreJustRead(t *testing.T) {
+	a := newBackend(t, "a", respondOK("ok"))
+	route := nonIdempotent
+	route.Timeout = time.Minute
+	e := newEntry(t, route, a)
+	e.recordDuration(time.Minute) // Nothing can be done before the end.
+	e.handler.Drain(t.Context(), time.Now().Add(30*time.Second))
+	for range 20 {
+		for _, got := range e.sendTogether(100) {
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		}
+	}
+	assert.Equal(t, len(a.requests()), 0)
+}
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -238,22 +237,23 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	deadline := bodyDeadline{rc: http.NewResponseController(w)}
-	if err := deadline.set(q.deadline); err != nil {
-		return nil, errors.Wrap(err, "read deadline")
-	}
+	bound := &bodyBound{rc: http.NewResponseController(w)}
+	timer := time.AfterFunc(time.Until(q.deadline), bound.expire)
+	defer timer.Stop()
 	defer context.AfterFunc(h.drain.begun, func() {
-		_ = deadline.set(h.drain.lastStart(q)) // It fails only if the connection is closed.
+		if last := h.drain.lastStart(q); last.Before(q.deadline) {
+			timer.Reset(time.Until(last))
+		}
 	})()
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(serverWriter(w), r.Body, limit)
 	}
 	b, err := io.ReadAll(body)
-	if err != nil {
-		return nil, err
+	if !bound.complete() {
+		return nil, errBodyLate
 	}
-	return b, deadline.clear()
+	return b, err
 }
 
 // serverWriter returns the server's own writer, by which http.MaxBytesReader has the connection
@@ -274,10 +274,10 @@
 		h.reject(w, r, info, http.StatusRequestEntityTooLarge, "the body is too large")
 		return
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !errors.Is(err, errBodyLate) {
 		panic(http.ErrAbortHandler) // The client disconnected.
 	}
-	status, text := http.StatusRequestTimeout, "the body did not arrive in time"
+	status, text := http.StatusRequestTimeout, errBodyLate.Error()
 	if h.drain.isBegun() {
 		status, text = http.StatusServiceUnavailable, string(reasonStopping)
 	}
