An entry announces its stop before it hands its groups over

Leaving a group takes up to a second if it is held or the store is slow. Clients were told of the stop only after that, and the time in which new connections are accepted began then too.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -355,11 +355,12 @@
 // to detect that the entry is not ready, and answers all requests before ctx ends.
 func (e *Edge) Shutdown(ctx context.Context) error {
 	e.leaving.Store(true)
-	e.groups.stop()
 	e.clients.drain()
-	answerBy, closeBy := shutdownTimes(ctx, time.Now())
+	began := time.Now()
+	answerBy, closeBy := shutdownTimes(ctx, began)
 	e.handler.Drain(ctx, answerBy)
-	pause(ctx, unreadyDetectionTime)
+	e.groups.stop() // Takes a while if a group is held.
+	pause(ctx, unreadyDetectionTime-time.Since(began))
 	closing, cancel := context.WithDeadline(context.WithoutCancel(ctx), closeBy)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { time.AfterFunc(answerMargin, cancel) })() // A second signal.
