--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -40,6 +40,8 @@
 	readinessLag = 2 * time.Second
 	// recoverBound is the time after the last fault in which all requests must be served again.
 	recoverBound = 12 * time.Second
+	// listenTime is the time after a stop signal by which an entry has closed its listener.
+	listenTime = 3 * time.Second
 	// stopBound is the time within which a process must exit after a stop signal.
 	stopBound = 8 * time.Second
 )
@@ -162,6 +164,9 @@
 	if !passedOn && x.End.Sub(x.Start) < readTolerance {
 		return // sent while the connection was being closed
 	}
+	if !passedOn && !slices.ContainsFunc(stops, func(s span) bool { return s.overlaps(x.Start, x.End) && x.Start.Before(s.from.Add(listenTime)) }) {
+		return // sent to a proxy whose entry no longer listens
+	}
 	if !r.record.faultFree(x.Start, x.End, r.allHosts()...) {
 		return
 	}
