A stop does not wait for other hosts beyond its grace

The platform had to kill an entry whose last client had its answer a second before.

Cause: after its clients, the entry left the fleet and closed its connections to other hosts without a bound: 500 ms for the store, up to 2 s for a peer that reads nothing.

Change: connections of clients close 650 ms before the end of the grace, and what follows is given up 300 ms before it.

TestStopEndsInTimeWithoutPeers (the other entry is frozen) failed before: not ended 8 s after SIGTERM. It passes now, the process ended after 7.7 s.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -345,8 +345,10 @@
 	// answered. It covers the delivery of the answers, and closeMargin.
 	answerMargin = time.Second
 	// closeMargin is the time before the end of the shutdown at which connections are closed. It
-	// covers the calls by which an entry leaves the fleet.
-	closeMargin = 300 * time.Millisecond
+	// covers the calls by which an entry leaves the fleet, and exitMargin.
+	closeMargin = 650 * time.Millisecond
+	// exitMargin is the time for the end of the process. What other hosts delay is not waited for.
+	exitMargin = 300 * time.Millisecond
 	// marginDivisor bounds the margins of a short shutdown: each is at most this part of it.
 	marginDivisor = 8
 )
@@ -357,7 +359,7 @@
 	e.leaving.Store(true)
 	e.clients.drain()
 	began := time.Now()
-	answerBy, closeBy := shutdownTimes(ctx, began)
+	answerBy, closeBy, exitBy := shutdownTimes(ctx, began)
 	e.handler.Drain(ctx, answerBy)
 	e.groups.stop() // Takes a while if a group is held.
 	pause(ctx, unreadyDetectionTime-time.Since(began))
@@ -370,31 +372,38 @@
 	}
 	_ = e.clients.server.Close()
 	e.cancel()
-	awaitUntil(ctx, e.wg.Wait)
+	awaitUntil(exitBy, e.leave)
+	return err
+}
+
+// leave ends the work in the background and the connections to other hosts.
+func (e *Edge) leave() {
+	e.wg.Wait()
 	_ = e.controlServer.Close()
 	_ = e.metricsServer.Close()
 	e.pool.Close()
 	e.peers.Close()
 	e.store.Close()
-	return err
 }
 
-// shutdownTimes returns the times by which a shutdown answers its requests and closes its
-// connections.
-func shutdownTimes(ctx context.Context, now time.Time) (answerBy, closeBy time.Time) {
+// shutdownTimes returns the times by which a shutdown answers its requests, closes its
+// connections and is over.
+func shutdownTimes(ctx context.Context, now time.Time) (answerBy, closeBy, exitBy time.Time) {
 	end, ok := ctx.Deadline()
 	if !ok {
 		end = now.Add(defaultShutdownTime)
 	}
 	most := end.Sub(now) / marginDivisor
-	return end.Add(-min(answerMargin, most)), end.Add(-min(closeMargin, most))
+	return end.Add(-min(answerMargin, most)), end.Add(-min(closeMargin, most*2/3)), end.Add(-min(exitMargin, most/3))
 }
 
 // defaultShutdownTime bounds a shutdown without a deadline.
 const defaultShutdownTime = 30 * time.Second
 
-// awaitUntil waits until f returns or ctx ends.
-func awaitUntil(ctx context.Context, f func()) {
+// awaitUntil runs f and waits for its end, until a time at most.
+func awaitUntil(limit time.Time, f func()) {
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -402,7 +411,7 @@
 	}()
 	select {
 	case <-done:
-	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
