--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -12,7 +12,7 @@
 )
 
 // attemptTimeoutTargets is the attempt timeout as a multiple of the target latency, while
-// another endpoint may still be tried.
+// a further attempt is allowed.
 const attemptTimeoutTargets = 2
 
 var errAttemptTimeout = errors.New("the endpoint gave no answer in time")
--- a/entry/direct/oversized_test.go
+++ b/entry/direct/oversized_test.go
@@ -115,7 +115,7 @@
 				}
 				a, b := newBackend(t, "a", endless(status, true)), newBackend(t, "b", sound)
 				e := newEntry(t, route, a, b)
-				e.handler.Service("s").MarkUnreachable("b") // a is tried first.
+				e.handler.Service("s").MarkUnreachable("b") // Makes a the first choice.
 				got := e.send(http.MethodPost)
 				assert.NilError(t, got.err)
 				assert.Equal(t, len(a.requests()), 1)
