Requests of a service compete by rank

Two reasons, told apart by the new fields team_priority and route_priority of request lines: all teams but one have priority 1, and the priority of a team replaced that of the route, so that the scheduler saw no classes at all; and what is left, the order by target and patience, favours the class with the longest target: it counts as timely for longest and is refused last. Ruled out: priority at the endpoints (few requests queue there), bursts (the room is short in outages). Change: balance/scheduler/rank.go orders by team, then route, with a floor for each rank and team, fair shares among teams, predictions by rank, and waiting requests of other entries, which ride on the loads.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -13,10 +13,26 @@
 	if s.down {
 		return
 	}
+	if s.ranked {
+		s.dispatchByRank(now)
+		return
+	}
 	for len(s.waiting) > 0 && s.dispatchOne(now) {
 	}
 }
 
+// start starts a request that is no longer in the queue.
+func (s *Scheduler) start(item *Item, e *endpoint, late bool, now time.Duration) {
+	if s.maxWait(&item.Request, now) <= 0 {
+		s.lastTrial = now
+	}
+	s.recordStart(e, &item.Request, now)
+	if open := s.breakers[e.group]; open != nil {
+		open.lastTrial = now
+	}
+	s.decide(item, Decision{Endpoint: e.Name, Late: late}, now)
+}
+
 // dispatchOne starts the most urgent request for which there is capacity. Requests
 // that can meet their target go before those that cannot.
 func (s *Scheduler) dispatchOne(now time.Duration) bool {
@@ -33,14 +49,7 @@
 				continue
 			}
 			s.waiting = slices.Delete(s.waiting, i, i+1)
-			if s.maxWait(&item.Request, now) <= 0 {
-				s.lastTrial = now
-			}
-			s.recordStart(e, &item.Request, now)
-			if open := s.breakers[e.group]; open != nil {
-				open.lastTrial = now
-			}
-			s.decide(item, Decision{Endpoint: e.Name, Late: late}, now)
+			s.start(item, e, late, now)
 			return true
 		}
 	}
@@ -166,6 +175,9 @@
 // expectedWait returns the time until a new request starts, from the number of
 // requests ahead of it and the start rate.
 func (s *Scheduler) expectedWait(item *Item, now time.Duration) time.Duration {
+	if s.ranked {
+		return s.expectedWaitByRank(item, now)
+	}
 	ahead := 0
 	for _, w := range s.waiting {
 		if w.sortKey <= item.sortKey && !s.isLate(&w.Request, now) {
--- /dev/null
+++ b/balance/scheduler/rank.go
@@ -0,0 +1,324 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// Rank orders requests that compete for the endpoints of a service, the most urgent first: by the
+// priority of the team, then by that of the route.
+type Rank struct{ Team, Route int }
+
+func (r Rank) compare(o Rank) int {
+	return cmp.Or(cmp.Compare(r.Team, o.Team), cmp.Compare(r.Route, o.Route))
+}
+
+// Before reports whether requests of rank r go before those of rank o.
+func (r Rank) Before(o Rank) bool { return r.compare(o) < 0 }
+
+const (
+	// usageHalfLife is the time after which a request counts half in the usage of its rank and
+	// team: long enough to cover a wave of demand, short enough to follow a burst.
+	usageHalfLife = 5 * time.Second
+	// minServedFraction is the part of the usual fraction of started requests that each rank and each team
+	// gets, whatever is more urgent. Callers may not be served less than a quarter as often as all.
+	minServedFraction = 0.4
+	// minUsage is the number of requests from which on a fraction of them is meaningful.
+	minUsage = 4
+	// minRankRate is the part of the start rate that remains for the least urgent requests in
+	// predictions.
+	minRankRate = 0.1
+	// fairShareExcess is how far the usage of a team may exceed the mean of the teams with requests before its
+	// requests go after those of others with the same rank.
+	fairShareExcess = 1.5
+)
+
+// usage counts the requests of a rank or a team, with exponential decay.
+type usage struct {
+	submitted, started float64
+	at                 time.Duration
+}
+
+func (u *usage) decay(now time.Duration) {
+	if now <= u.at {
+		return
+	}
+	f := math.Exp2(-float64(now-u.at) / float64(usageHalfLife))
+	u.submitted *= f
+	u.started *= f
+	u.at = now
+}
+
+// fraction returns the part of the requests that started, one if there are too few to tell.
+func (u *usage) fraction(now time.Duration) float64 {
+	u.decay(now)
+	if u.submitted < minUsage {
+		return 1
+	}
+	return u.started / u.submitted
+}
+
+// contention decides the order of requests that compete for too little capacity.
+type contention struct {
+	all    usage
+	ranks  map[Rank]*usage
+	teams  map[id.Team]*usage
+	peers  []RankCount // waiting at other entries
+	arrive map[Rank]*rateEstimate
+}
+
+// RankCount is a number of requests of a rank.
+type RankCount struct {
+	Rank  Rank
+	Count int
+}
+
+// rateEstimate is a rate of arrivals, with exponential decay.
+type rateEstimate struct {
+	weight float64
+	at     time.Duration
+}
+
+// arrivalHalfLife is the time after which an arrival counts half.
+const arrivalHalfLife = time.Second
+
+func (r *rateEstimate) add(now time.Duration) {
+	r.weight = r.decayed(now) + 1
+	r.at = now
+}
+
+func (r *rateEstimate) decayed(now time.Duration) float64 {
+	return r.weight * math.Exp2(-float64(max(now-r.at, 0))/float64(arrivalHalfLife))
+}
+
+// perSecond returns the rate: the weight of a steady stream is the rate times the mean lifetime.
+func (r *rateEstimate) perSecond(now time.Duration) float64 {
+	return r.decayed(now) * math.Ln2 / arrivalHalfLife.Seconds()
+}
+
+func newContention() contention {
+	return contention{ranks: make(map[Rank]*usage), teams: make(map[id.Team]*usage), arrive: make(map[Rank]*rateEstimate)}
+}
+
+func entryOf[K comparable, V any](m map[K]*V, key K) *V {
+	v := m[key]
+	if v == nil {
+		v = new(V)
+		m[key] = v
+	}
+	return v
+}
+
+// recordSubmit counts a request that arrives. A continued stream has been counted before.
+func (c *contention) recordSubmit(r *Request, now time.Duration) {
+	if r.Resumed {
+		return
+	}
+	entryOf(c.arrive, r.Rank).add(now)
+	for _, u := range c.of(r) {
+		u.decay(now)
+		u.submitted++
+	}
+}
+
+// recordStart counts a request that starts.
+func (c *contention) recordStart(r *Request, now time.Duration) {
+	if r.Resumed {
+		return
+	}
+	for _, u := range c.of(r) {
+		u.decay(now)
+		u.started++
+	}
+}
+
+func (c *contention) of(r *Request) [3]*usage {
+	return [3]*usage{&c.all, entryOf(c.ranks, r.Rank), entryOf(c.teams, r.Team)}
+}
+
+// starves reports whether the rank or the team of a request is served so much less than all that it goes first.
+func (c *contention) starves(r *Request, now time.Duration) bool {
+	floor := minServedFraction * c.all.fraction(now)
+	return entryOf(c.ranks, r.Rank).fraction(now) < floor || entryOf(c.teams, r.Team).fraction(now) < floor
+}
+
+// overFairShare reports whether a team had clearly more than the mean of the teams with requests.
+func (c *contention) overFairShare(team id.Team, now time.Duration) bool {
+	u := c.teams[team]
+	if u == nil || len(c.teams) < 2 {
+		return false
+	}
+	u.decay(now)
+	active := 0
+	for _, t := range c.teams {
+		t.decay(now)
+		if t.submitted >= 1 {
+			active++
+		}
+	}
+	c.all.decay(now)
+	return active > 1 && u.started > fairShareExcess*c.all.started/float64(active)
+}
+
+// prune forgets teams without recent requests.
+func (c *contention) prune(now time.Duration) {
+	for team, u := range c.teams {
+		if u.decay(now); u.submitted < 0.01 {
+			delete(c.teams, team)
+		}
+	}
+}
+
+// waitingBefore returns the number of requests at other entries that go before a rank.
+func (c *contention) waitingBefore(r Rank) int {
+	sum := 0
+	for _, p := range c.peers {
+		if p.Rank.Before(r) {
+			sum += p.Count
+		}
+	}
+	return sum
+}
+
+// arrivalsBefore returns the rate of arrivals, per second, that go before a rank.
+func (c *contention) arrivalsBefore(r Rank, now time.Duration) float64 {
+	sum := 0.0
+	for rank, e := range c.arrive {
+		if rank.Before(r) {
+			sum += e.perSecond(now)
+		}
+	}
+	return sum
+}
+
+// orderKey is the position of a waiting request at one time.
+type orderKey struct {
+	item    *Item
+	resumed bool
+	starved bool
+	late    bool
+	over    bool
+}
+
+// compare orders requests: streams to be continued, ranks and teams below their floor, then by rank, timely before late,
+// teams within their fair share first, and by target.
+func (a orderKey) compare(b orderKey) int {
+	ra, rb := &a.item.Request, &b.item.Request
+	return cmp.Or(
+		first(a.resumed, b.resumed), first(a.starved, b.starved), ra.Rank.compare(rb.Rank), first(!a.late, !b.late),
+		first(!a.over, !b.over), cmp.Compare(a.item.sortKey, b.item.sortKey),
+	)
+}
+
+// first orders values that are true before those that are false.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// byRank returns the waiting requests in the order in which they start.
+func (s *Scheduler) byRank(now time.Duration) []orderKey {
+	keys := make([]orderKey, len(s.waiting))
+	starved := make(map[Rank]map[id.Team]bool)
+	over := make(map[id.Team]bool)
+	for i, item := range s.waiting {
+		r := &item.Request
+		teams := starved[r.Rank]
+		if teams == nil {
+			teams = make(map[id.Team]bool)
+			starved[r.Rank] = teams
+		}
+		if _, ok := teams[r.Team]; !ok {
+			teams[r.Team] = s.contention.starves(r, now)
+		}
+		if _, ok := over[r.Team]; !ok {
+			over[r.Team] = s.contention.overFairShare(r.Team, now)
+		}
+		keys[i] = orderKey{item: item, resumed: r.Resumed, starved: teams[r.Team], late: s.isLate(r, now), over: over[r.Team]}
+	}
+	slices.SortStableFunc(keys, orderKey.compare)
+	return keys
+}
+
+// dispatchByRank starts waiting requests in the order of byRank while there is capacity.
+func (s *Scheduler) dispatchByRank(now time.Duration) {
+	s.contention.prune(now)
+	free := s.freeSlots()
+	for _, k := range s.byRank(now) {
+		r := &k.item.Request
+		if !k.resumed && !s.mayUse(free, k, now) {
+			continue
+		}
+		e := s.leastCost(r, now)
+		if e == nil {
+			continue
+		}
+		s.waiting = slices.DeleteFunc(s.waiting, func(w *Item) bool { return w == k.item })
+		s.start(k.item, e, k.late, now)
+		free--
+	}
+}
+
+// expectedWaitByRank returns the time until a request starts that competes by rank: the more urgent ones that
+// wait start before it, and those that will arrive meanwhile take their part of the starts.
+func (s *Scheduler) expectedWaitByRank(item *Item, now time.Duration) time.Duration {
+	r := &item.Request
+	if s.contention.starves(r, now) {
+		return 0 // It goes first.
+	}
+	ahead := 0
+	for _, w := range s.waiting {
+		if o := &w.Request; w != item && (o.Rank.Before(r.Rank) || o.Rank == r.Rank && w.sortKey <= item.sortKey && !s.isLate(o, now)) {
+			ahead++
+		}
+	}
+	if ahead -= max(s.freeCapacity(now)-s.contention.waitingBefore(r.Rank), 0); ahead <= 0 {
+		return 0
+	}
+	rate := s.startRate(now)
+	rate = max(rate-s.contention.arrivalsBefore(r.Rank, now), minRankRate*rate)
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// freeSlots returns the number of requests that may start before MaxUtilization is reached.
+func (s *Scheduler) freeSlots() int {
+	return int(math.Ceil(s.cfg.MaxUtilization*float64(s.slots()))) - s.running()
+}
+
+// mayUse reports whether a request may use one of the free slots: more urgent requests that wait at other entries
+// come first, except before a request whose rank or team starves.
+func (s *Scheduler) mayUse(free int, k orderKey, now time.Duration) bool {
+	if free <= 0 {
+		return false
+	}
+	return k.starved || free > s.contention.waitingBefore(k.item.Request.Rank)
+}
+
+// WaitingByRank returns the number of waiting requests of each rank, the most urgent first.
+func (s *Scheduler) WaitingByRank() []RankCount {
+	var out []RankCount
+	for _, item := range s.waiting {
+		i, ok := slices.BinarySearchFunc(out, item.Request.Rank, func(c RankCount, r Rank) int { return c.Rank.compare(r) })
+		if !ok {
+			out = slices.Insert(out, i, RankCount{Rank: item.Request.Rank})
+		}
+		out[i].Count++
+	}
+	return out
+}
+
+// SetPeerWaiting sets the number of requests that wait at other entries.
+func (s *Scheduler) SetPeerWaiting(waiting []RankCount) { s.contention.peers = waiting }
+
+// SetRanked sets whether requests compete by rank.
+func (s *Scheduler) SetRanked(ranked bool) { s.ranked = ranked }
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -39,6 +39,10 @@
 	periodStarts, lastPeriodStarts int
 	// usualStarts is the moving average of the starts in a period without outages.
 	usualStarts float64
+
+	// ranked is true if requests compete by rank, as contention decides.
+	ranked     bool
+	contention contention
 }
 
 type endpoint struct {
@@ -68,6 +72,7 @@
 	return &Scheduler{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), byName: make(map[id.Endpoint]*endpoint), breakers: make(map[id.Group]*breaker),
 		firstEventLatency: newEstimate(cfg.FirstEventLatency), requestDuration: newEstimate(cfg.RequestDuration), outageEstimate: cfg.OutageDuration,
+		contention: newContention(),
 	}
 }
 
@@ -186,6 +191,7 @@
 	e.ownLoad.PromptTokens += r.PromptTokens
 	e.backoff.recordStart()
 	s.countStart(now)
+	s.contention.recordStart(r, now)
 }
 
 func (s *Scheduler) countStart(now time.Duration) {
@@ -270,6 +276,7 @@
 	if item.Request.Resumed {
 		item.sortKey = 0
 	}
+	s.contention.recordSubmit(&item.Request, now)
 	if d, refused := s.refuseOnArrival(item, now); refused {
 		s.decide(item, d, now)
 		return
--- a/balance/scheduler/types.go
+++ b/balance/scheduler/types.go
@@ -101,8 +101,11 @@
 	// FirstEventDeadline is when the client gives up unless it has a first event.
 	// Zero selects Deadline.
 	FirstEventDeadline time.Duration
-	// Priority orders requests, zero first.
+	// Priority orders requests, zero first, unless they compete by Rank.
 	Priority int
+	// Rank orders requests that compete by rank, see SetRanked. Team is who sent the request.
+	Rank Rank
+	Team id.Team
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
 	// Resumed is true for the continuation of a broken stream. It starts before all
--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -124,7 +124,7 @@
 	h.requestLog.chosen(q, slot)
 	header := q.header.Clone()
 	f := ForwardInfo{
-		Endpoint: slot.Backend.Name, Remaining: time.Until(q.deadline), Priority: q.priority(), LastEvent: lastEvent,
+		Endpoint: slot.Backend.Name, Remaining: time.Until(q.deadline), Priority: q.endpointPriority(), LastEvent: lastEvent,
 	}
 	if q.team != nil {
 		f.Team = q.team.Name
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -311,6 +312,20 @@
 	return q.route.Priority
 }
 
+// maxEndpointPriority is the least urgent priority that endpoints know.
+const maxEndpointPriority = 9
+
+// endpointPriority returns the priority of the request at the endpoint, zero first: that of the team, and
+// below it that of the route.
+func (q *request) endpointPriority() int {
+	routes := q.service.routePriorities()
+	if len(routes) < 2 {
+		return q.priority()
+	}
+	i, _ := slices.BinarySearch(routes, q.route.Priority)
+	return min(q.priority()*len(routes)+i, maxEndpointPriority)
+}
+
 // queued returns a callback that logs that the request has to wait.
 func (h *Handler) queued(q *request) func(scheduler.Occupancy) {
 	return func(s scheduler.Occupancy) { h.requestLog.queued(q, s) }
@@ -329,6 +344,7 @@
 	}
 	return scheduler.Request{
 		Arrival: q.began.Sub(base), Target: q.began.Add(target).Sub(base), Deadline: q.deadline.Sub(base), FirstEventDeadline: silence,
-		Priority: q.priority(), PromptTokens: q.info.PromptTokens, Exclude: q.excluded,
+		Priority: q.priority(), Rank: scheduler.Rank{Team: q.priority(), Route: q.route.Priority}, Team: q.teamName(),
+		PromptTokens: q.info.PromptTokens, Exclude: q.excluded,
 	}
 }
--- a/entry/direct/loads.go
+++ b/entry/direct/loads.go
@@ -33,6 +33,32 @@
 	// Loads has endpointLoadBytes for each endpoint with requests. The keys 1 to 3 were used by
 	// a former encoding.
 	Loads []byte `cbor:"4,keyasint"`
+	// Waiting counts the waiting requests by rank, in a service whose requests compete by rank.
+	Waiting []waitingRequests `cbor:"5,keyasint,omitempty"`
+}
+
+// waitingRequests is a number of waiting requests of one rank.
+type waitingRequests struct {
+	_     struct{} `cbor:",toarray"`
+	Team  int
+	Route int
+	Count int
+}
+
+// addWaiting adds the waiting requests to sum.
+func (s serviceLoads) addWaiting(sum map[scheduler.Rank]int) {
+	for _, w := range s.Waiting {
+		sum[scheduler.Rank{Team: w.Team, Route: w.Route}] += max(w.Count, 0)
+	}
+}
+
+// encodeWaiting returns waiting requests for other entries.
+func encodeWaiting(sum map[scheduler.Rank]int) []waitingRequests {
+	out := make([]waitingRequests, 0, len(sum))
+	for rank, n := range sum {
+		out = append(out, waitingRequests{Team: rank.Team, Route: rank.Route, Count: n})
+	}
+	return out
 }
 
 // loadsByHash are loads by the hash of the endpoint's name.
@@ -76,6 +102,9 @@
 	// intervals between exchanges.
 	peerLoadTTL       = 2 * time.Second
 	peerLoadExchanges = 3
+	// waitingExchanges is the number of intervals between exchanges for which received counts of waiting
+	// requests count: requests start or are refused sooner than loads change.
+	waitingExchanges = 3
 )
 
 // LoadExchange shares endpoint loads between entries. It is safe for concurrent use.
@@ -98,6 +127,8 @@
 type sourceLoads struct {
 	at       time.Time
 	services map[id.Service]serviceLoads
+	// waitingExpired is true once the waiting requests no longer count.
+	waitingExpired bool
 }
 
 // NewLoadExchange returns the load exchange of a handler's services. Interval returns the time
@@ -117,14 +148,19 @@
 	defer l.mu.Unlock()
 	out := make(map[id.Service]serviceLoads)
 	for name, s := range l.handler.Services() {
-		sum := s.ownLoads()
+		sum, waiting := s.ownLoads(), s.ownWaiting()
 		for from, x := range l.sources {
 			if from.host != "" && of(from.host) {
 				x.services[name].addTo(sum)
+				if !x.waitingExpired {
+					x.services[name].addWaiting(waiting)
+				}
 			}
 		}
-		if len(sum) > 0 {
-			out[name] = sum.encode()
+		if len(sum) > 0 || len(waiting) > 0 {
+			loads := sum.encode()
+			loads.Waiting = encodeWaiting(waiting)
+			out[name] = loads
 		}
 	}
 	return cbor.Marshal(out)
@@ -144,6 +180,20 @@
 	return out
 }
 
+// ownWaiting returns the requests that wait at this entry.
+func (s *Service) ownWaiting() map[scheduler.Rank]int {
+	out := make(map[scheduler.Rank]int)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.config.Ranked() {
+		return out
+	}
+	for _, c := range s.scheduler.WaitingByRank() {
+		out[c.Rank] = c.Count
+	}
+	return out
+}
+
 // SetHostLoads replaces the loads of another entry by what its Encode returned.
 func (l *LoadExchange) SetHostLoads(from id.Host, state []byte) error {
 	return l.set(loadSource{host: from}, state)
@@ -172,9 +222,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for from, x := range l.sources {
-		if time.Since(x.at) > ttl {
+		switch age := time.Since(x.at); {
+		case age > ttl:
 			delete(l.sources, from)
 			l.dirty = true
+		case age > waitingExchanges*l.interval() && !x.waitingExpired:
+			x.waitingExpired = true
+			l.sources[from] = x
+			l.dirty = true
 		}
 	}
 	if l.dirty {
@@ -186,15 +241,18 @@
 // applyLocked passes the sums to the services. The caller holds mu.
 func (l *LoadExchange) applyLocked() {
 	for name, s := range l.handler.Services() {
-		sum := make(loadsByHash)
+		sum, waiting := make(loadsByHash), make(map[scheduler.Rank]int)
 		var latest time.Time
 		for _, x := range l.sources {
 			if x.at.After(latest) {
 				latest = x.at
 			}
 			x.services[name].addTo(sum)
+			if !x.waitingExpired {
+				x.services[name].addWaiting(waiting)
+			}
 		}
-		s.setPeerLoads(sum, latest)
+		s.setPeerLoads(sum, waiting, latest)
 	}
 }
 
--- a/entry/direct/requestlog.go
+++ b/entry/direct/requestlog.go
@@ -43,9 +43,12 @@
 // request adds the common fields of a request to a log line.
 func (l *requestLog) request(e *zerolog.Event, event string, q *request) *zerolog.Event {
 	e = e.Str("event", event).Str("request", string(q.info.ID)).Str("service", string(q.service.name)).
-		Str("route", q.route.Name).Uint64("config", q.version).Dur("after", time.Since(q.began))
+		Str("route", q.route.Name).Uint64("config", q.version).Dur("after", time.Since(q.began)).Int("route_priority", q.route.Priority)
 	if q.team != nil {
 		e = e.Str("team", string(q.team.Name))
+		if q.team.Priority != nil {
+			e = e.Int("team_priority", *q.team.Priority)
+		}
 	}
 	return e
 }
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -66,6 +66,7 @@
 		quarantine: newPartQuarantine(c.Name, opt),
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
+	s.scheduler.SetRanked(c.Ranked())
 	return s
 }
 
@@ -91,6 +92,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config = c
+	s.scheduler.SetRanked(c.Ranked())
+}
+
+// routePriorities returns the different priorities of the service's routes.
+func (s *Service) routePriorities() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.RoutePriorities
 }
 
 // stallTimeout returns the time without a new pass after which a group counts as down.
@@ -387,8 +396,8 @@
 	return down
 }
 
-// setPeerLoads replaces the loads that other entries cause at the endpoints.
-func (s *Service) setPeerLoads(loads loadsByHash, receivedAt time.Time) {
+// setPeerLoads replaces the loads that other entries cause at the endpoints, and the requests that wait there.
+func (s *Service) setPeerLoads(loads loadsByHash, waiting map[scheduler.Rank]int, receivedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if receivedAt.After(s.peerLoadsAt) {
@@ -398,6 +407,11 @@
 	for i, name := range names {
 		s.scheduler.SetPeerLoad(name, loads[hashes[i]])
 	}
+	counts := make([]scheduler.RankCount, 0, len(waiting))
+	for rank, n := range waiting {
+		counts = append(counts, scheduler.RankCount{Rank: rank, Count: n})
+	}
+	s.scheduler.SetPeerWaiting(counts)
 	s.dispatch()
 }
 
--- a/entry/routes/config.go
+++ b/entry/routes/config.go
@@ -76,10 +76,17 @@
 	HealthPath string
 	// MaxConns is the number of connections that an endpoint accepts from all callers.
 	MaxConns int
+	// RoutePriorities are the different priorities of the routes to the service, in order. NewTable
+	// sets them.
+	RoutePriorities []int
 	// Engine is set if the endpoints are model engines.
 	Engine *Engine
 }
 
+// Ranked reports whether the routes to the service have different priorities, so that their requests
+// compete by rank.
+func (s *Service) Ranked() bool { return len(s.RoutePriorities) > 1 }
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs concurrently.
--- a/entry/routes/table.go
+++ b/entry/routes/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 
@@ -49,6 +50,7 @@
 		if e := s.Engine; e != nil && e.Slots <= 0 {
 			found.Addf(place+".engine.slots", "%d is not positive", e.Slots)
 		}
+		s.RoutePriorities = nil
 		t.services[s.Name] = s
 	}
 }
@@ -59,6 +61,13 @@
 		found.Merge(fmt.Sprintf("routes[%d] %q", i, r.Name), t.checkRoute(r))
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, split := range r.Split {
+			if s := t.services[split.Service]; s != nil && split.Weight > 0 {
+				if i, ok := slices.BinarySearch(s.RoutePriorities, r.Priority); !ok {
+					s.RoutePriorities = slices.Insert(s.RoutePriorities, i, r.Priority)
+				}
+			}
+		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
