Answers whose status is none are no answers

Cause: clients of endpoints took any three digits: 000 to 099 were skipped like interim answers, 600 to 999 passed on, and the agent's client delivered all of them. Reported by operators of similar systems (a client got an answer with status 000). Ruled out: net/http's transport and reader check only that there are three digits. Relays, peers and the mesh speak no HTTP.

--- a/agent/oneshot/oneshot.go
+++ b/agent/oneshot/oneshot.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/httpstatus"
 )
 
 // idleTimeout is shorter than the idle timeout of most servers, so that requests
@@ -93,6 +95,11 @@
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	preventRewind(r)
 	response, err := c.transport.RoundTrip(r)
+	if err == nil && !httpstatus.Valid(response.StatusCode) {
+		_ = response.Body.Close()
+		c.transport.CloseIdleConnections() // The connection may be among them.
+		return nil, errors.Newf("answer has %03d, which is not a status", response.StatusCode)
+	}
 	if err == nil {
 		return response, nil
 	}
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/httpstatus"
 )
 
 const (
@@ -267,6 +269,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "answer cannot be read")
 		}
+		if !httpstatus.Valid(response.StatusCode) {
+			return nil, errors.Newf("answer has %03d, which is not a status", response.StatusCode)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/fleet/objectapi/transport.go
+++ b/fleet/objectapi/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/core/httpstatus"
 )
 
 const (
@@ -95,6 +97,9 @@
 	if err != nil {
 		return response{}, &possiblySentError{cause: err}
 	}
+	if !httpstatus.Valid(httpResp.StatusCode) {
+		return response{}, &possiblySentError{cause: errors.Newf("platform response has %03d, which is not a status", httpResp.StatusCode)}
+	}
 	if len(b) > maxResponseBytes {
 		return response{}, &possiblySentError{cause: errors.Newf("platform response exceeds %d bytes", maxResponseBytes)}
 	}
