Zones that an entry cannot reach are an outage

Ruled out: retries by the budget (190 silent streams, 66 refusals of groups); the other zones (14 to 56 failed connections). Change: balance/scheduler/reach.go: failed connections to three endpoints of a zone make it unreachable, with trials, until a sign of life; if nothing else serves, that is an outage with its remaining time.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -9,8 +9,9 @@
 // can no longer be served. The owner calls it after each change of loads and at an
 // interval while requests wait.
 func (s *Scheduler) Dispatch(now time.Duration) {
+	s.updateOutage(now)
 	s.refuseExpired(now)
-	if s.down {
+	if s.groupsDown {
 		return
 	}
 	if s.ranked {
@@ -36,7 +37,7 @@
 // dispatchOne starts the most urgent request for which there is capacity. Requests
 // that can meet their target go before those that cannot.
 func (s *Scheduler) dispatchOne(now time.Duration) bool {
-	if float64(s.running()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
+	if float64(s.busy()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
 		return false
 	}
 	for _, late := range []bool{false, true} {
@@ -66,7 +67,7 @@
 	var best *endpoint
 	var least float64
 	consider := func(e *endpoint) bool {
-		if !e.accepts(now) || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
+		if !e.accepts(now) || s.breakerBlocks(e, now) || s.zoneBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
 			return false
 		}
 		if e.ownLoad.Running+e.peerLoad.Running >= e.Slots+s.cfg.Overcommit {
--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -292,7 +292,7 @@
 
 // freeSlots returns the number of requests that may start before MaxUtilization is reached.
 func (s *Scheduler) freeSlots() int {
-	return int(math.Ceil(s.cfg.MaxUtilization*float64(s.slots()))) - s.running()
+	return int(math.Ceil(s.cfg.MaxUtilization*float64(s.slots()))) - s.busy()
 }
 
 // mayUse reports whether a request may use one of the free slots: more urgent requests that wait at other entries
--- /dev/null
+++ b/balance/scheduler/reach.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+const (
+	// unreachableEndpoints is the number of endpoints of a zone, as far as it has that many, to which connections fail until the
+	// zone counts as unreachable. A single one may have ended.
+	unreachableEndpoints = 3
+	// unreachableWindow is the time within which these failures count together.
+	unreachableWindow = time.Second
+	// zoneTrialInterval is the time between trial requests to an unreachable zone, whose recovery is seen first
+	// by the polls of its ranks where it has any.
+	zoneTrialInterval = 300 * time.Millisecond
+)
+
+// zoneReach is what an entry knows of its connections to the endpoints of a zone.
+type zoneReach struct {
+	// failed holds the endpoints to which connections failed, and when last.
+	failed map[id.Endpoint]time.Duration
+	// unreachable is true from the last of enough failures to the first sign of life.
+	unreachable bool
+	lastFailure time.Duration
+	lastTrial   time.Duration
+}
+
+// RecordUnreachable records that a connection to an endpoint could not be opened. It reports whether its zone
+// counts as unreachable from now on.
+func (s *Scheduler) RecordUnreachable(name id.Endpoint, now time.Duration) bool {
+	e := s.byName[name]
+	if e == nil {
+		return false
+	}
+	z := s.zones[e.Zone]
+	if z == nil {
+		z = &zoneReach{failed: make(map[id.Endpoint]time.Duration)}
+		s.zones[e.Zone] = z
+	}
+	z.lastFailure = now
+	z.failed[name] = now
+	if z.unreachable {
+		return false
+	}
+	recent := 0
+	for _, at := range z.failed {
+		if now-at <= unreachableWindow {
+			recent++
+		}
+	}
+	if recent < min(unreachableEndpoints, s.endpointsIn(e.Zone)) {
+		return false
+	}
+	z.unreachable, z.lastTrial = true, now
+	return true
+}
+
+// RecordReachable records a sign of life from a zone at a time, and reports whether the zone counted as unreachable until then.
+func (s *Scheduler) RecordReachable(zone id.Zone, at time.Duration) bool {
+	z := s.zones[zone]
+	if z == nil || at <= z.lastFailure {
+		return false
+	}
+	delete(s.zones, zone)
+	return z.unreachable
+}
+
+// UnreachableZones returns the number of zones that count as unreachable.
+func (s *Scheduler) UnreachableZones() int {
+	n := 0
+	for _, z := range s.zones {
+		if z.unreachable {
+			n++
+		}
+	}
+	return n
+}
+
+// endpointsIn returns the number of usable endpoints in a zone.
+func (s *Scheduler) endpointsIn(zone id.Zone) int {
+	n := 0
+	for _, e := range s.endpoints {
+		if e.Usable && e.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// inUnreachableZone reports whether an endpoint's zone counts as unreachable.
+func (s *Scheduler) inUnreachableZone(e *endpoint) bool {
+	z := s.zones[e.Zone]
+	return z != nil && z.unreachable
+}
+
+// zoneBlocks reports whether requests are kept from an endpoint because its zone is unreachable.
+func (s *Scheduler) zoneBlocks(e *endpoint, now time.Duration) bool {
+	z := s.zones[e.Zone]
+	return z != nil && z.unreachable && now-z.lastTrial < zoneTrialInterval
+}
+
+// recordZoneTrial records that a request starts at an endpoint, which is a trial if its zone is unreachable.
+func (s *Scheduler) recordZoneTrial(e *endpoint, now time.Duration) {
+	if z := s.zones[e.Zone]; z != nil {
+		z.lastTrial = now
+	}
+}
+
+// allUnreachable reports whether all usable endpoints that are not blocked are in unreachable zones, and there are any.
+func (s *Scheduler) allUnreachable() bool {
+	found := false
+	for _, e := range s.endpoints {
+		if !e.Usable || e.blocked {
+			continue
+		}
+		if !s.inUnreachableZone(e) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// updateOutage begins or ends the outage of a service whose endpoints cannot be reached.
+func (s *Scheduler) updateOutage(now time.Duration) {
+	s.setDown(s.groupsDown || s.allUnreachable(), now)
+}
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -23,7 +23,9 @@
 	// request to its first event and to its end.
 	firstEventLatency, requestDuration estimate
 
-	down bool
+	// down is true during an outage: all groups are down, or no endpoint can be reached.
+	down, groupsDown bool
+	zones            map[id.Zone]*zoneReach
 	// downSince is the start of the last outage, lastDown the start of its last
 	// uninterrupted part.
 	downSince, lastDown time.Duration
@@ -71,6 +73,7 @@
 	cfg = cfg.withDefaults()
 	return &Scheduler{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), byName: make(map[id.Endpoint]*endpoint), breakers: make(map[id.Group]*breaker),
+		zones:             make(map[id.Zone]*zoneReach),
 		firstEventLatency: newEstimate(cfg.FirstEventLatency), requestDuration: newEstimate(cfg.RequestDuration), outageEstimate: cfg.OutageDuration,
 		contention: newContention(),
 	}
@@ -158,6 +161,11 @@
 
 // SetDown sets whether all groups of the service are down.
 func (s *Scheduler) SetDown(down bool, now time.Duration) {
+	s.groupsDown = down
+	s.updateOutage(now)
+}
+
+func (s *Scheduler) setDown(down bool, now time.Duration) {
 	switch {
 	case down && !s.down:
 		// A group that was up only briefly is still in the same outage.
@@ -183,13 +191,14 @@
 // ranks detect that another one is missing.
 const minUptime = 2 * time.Second
 
-// Down reports whether all groups are down, and the start of the last outage.
+// Down reports whether all groups are down or unreachable, and the start of the last outage.
 func (s *Scheduler) Down() (bool, time.Duration) { return s.down, s.downSince }
 
 func (s *Scheduler) recordStart(e *endpoint, r *Request, now time.Duration) {
 	e.ownLoad.Running++
 	e.ownLoad.PromptTokens += r.PromptTokens
 	e.backoff.recordStart()
+	s.recordZoneTrial(e, now)
 	s.countStart(now)
 	s.contention.recordStart(r, now)
 }
@@ -235,7 +244,7 @@
 func (s *Scheduler) freeCapacity(now time.Duration) int {
 	sum := 0
 	for _, e := range s.endpoints {
-		if e.accepts(now) {
+		if e.accepts(now) && !s.inUnreachableZone(e) {
 			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
 		}
 	}
@@ -247,6 +256,7 @@
 	if e := s.byName[name]; e != nil {
 		e.ownLoad.PromptTokens = max(e.ownLoad.PromptTokens-r.PromptTokens, 0)
 		s.closeBreaker(e.group, now-elapsed)
+		s.RecordReachable(e.Zone, now)
 		e.backoff.recordEnd(now-elapsed, true)
 	}
 	s.firstEventLatency.add(elapsed, now)
@@ -277,6 +287,7 @@
 		item.sortKey = 0
 	}
 	s.contention.recordSubmit(&item.Request, now)
+	s.updateOutage(now)
 	if d, refused := s.refuseOnArrival(item, now); refused {
 		s.decide(item, d, now)
 		return
@@ -297,7 +308,7 @@
 func (s *Scheduler) capacity() int {
 	sum := 0
 	for _, e := range s.endpoints {
-		if e.Usable && !e.blocked {
+		if s.serves(e) {
 			sum += e.Slots + s.cfg.Overcommit
 		}
 	}
@@ -334,11 +345,28 @@
 	return sum
 }
 
+// serves reports whether an endpoint is part of the service's capacity.
+func (s *Scheduler) serves(e *endpoint) bool {
+	return e.Usable && !e.blocked && !s.inUnreachableZone(e)
+}
+
+// busy returns the number of requests at the endpoints that are part of the capacity. Requests at
+// others are stalled and take no slot of these.
+func (s *Scheduler) busy() int {
+	sum := 0
+	for _, e := range s.endpoints {
+		if s.serves(e) {
+			sum += e.ownLoad.Running + e.peerLoad.Running
+		}
+	}
+	return sum
+}
+
 // slots returns the number of slots of the usable endpoints.
 func (s *Scheduler) slots() int {
 	sum := 0
 	for _, e := range s.endpoints {
-		if e.Usable && !e.blocked {
+		if s.serves(e) {
 			sum += e.Slots
 		}
 	}
--- a/balance/scheduler/types.go
+++ b/balance/scheduler/types.go
@@ -73,6 +73,8 @@
 // Endpoint is one endpoint of the service.
 type Endpoint struct {
 	Name id.Endpoint
+	// Zone is the availability zone, whose endpoints are cut off together.
+	Zone id.Zone
 	// Slots is the number of requests that the endpoint runs at the same time.
 	Slots int
 	// Usable is false for endpoints that are being removed.
--- a/entry/direct/groups.go
+++ b/entry/direct/groups.go
@@ -283,7 +283,7 @@
 		}
 		r := RankStatus{Group: group, GroupDown: groups[group].downReason != "", ProgressAt: groups[group].progressAt, Slowdown: rosterRanks[e.Name].Slowdown}
 		if w := g.links[e]; w != nil && now.Sub(w.stateAt) <= maxStateAge {
-			r.Slowdown = w.state.Slowdown
+			r.Slowdown, r.SeenAt = w.state.Slowdown, w.stateAt
 		}
 		status[e.Name] = r
 	}
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -136,7 +136,7 @@
 		if s.config.Engine != nil {
 			slots = s.config.Engine.Slots
 		}
-		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Slots: max(slots, 1), Usable: s.isUsable(e)})
+		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Zone: e.Zone, Slots: max(slots, 1), Usable: s.isUsable(e)})
 	}
 	s.scheduler.SetEndpoints(endpoints)
 	s.applyShare()
@@ -299,7 +299,32 @@
 func (s *Service) MarkUnreachable(name id.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.Suspect(name, s.now()+unreachableDuration)
+	now := s.now()
+	s.scheduler.Suspect(name, now+unreachableDuration)
+	if s.scheduler.RecordUnreachable(name, now) {
+		s.logReach(name, "zone.unreachable")
+		s.dispatch()
+	}
+}
+
+// recordReachable records a sign of life from an endpoint's zone. The caller holds mu.
+func (s *Service) recordReachable(name id.Endpoint, at time.Duration) {
+	b := s.backends[name]
+	if b != nil && s.scheduler.RecordReachable(b.Endpoint().Zone, at) {
+		s.logReach(name, "zone.reachable")
+		s.dispatch()
+	}
+}
+
+// logReach logs that the zone of an endpoint was lost or is reachable again. The caller holds mu.
+func (s *Service) logReach(name id.Endpoint, event string) {
+	zone := id.Zone("")
+	if b := s.backends[name]; b != nil {
+		zone = b.Endpoint().Zone
+	}
+	down, _ := s.scheduler.Down()
+	s.log.Info().Str("event", event).Str("service", string(s.name)).Str("endpoint", string(name)).Str("zone", string(zone)).
+		Int("zones", s.scheduler.UnreachableZones()).Bool("down", down).Int("waiting", s.scheduler.Waiting()).Send()
 }
 
 // unreachableDuration is the time for which an endpoint is avoided after a failed
@@ -361,6 +386,8 @@
 	Slowdown float64
 	// ProgressAt is when the group was last seen to begin a pass or a new formation.
 	ProgressAt time.Time
+	// SeenAt is when the rank was last heard of, zero for never.
+	SeenAt time.Time
 }
 
 // SetRanks sets the state of the ranks behind the endpoints. Endpoints missing from ranks
@@ -375,6 +402,9 @@
 		if !ok {
 			r.GroupDown = unknownDown
 		}
+		if !r.SeenAt.IsZero() {
+			s.recordReachable(name, r.SeenAt.Sub(s.start))
+		}
 		s.scheduler.SetBlocked(name, r.GroupDown)
 		s.scheduler.SetSlowdown(name, r.Slowdown)
 		if r.Group != "" {
