Entries that are cut off send their callers elsewhere

Cause: while a zone is cut off its clients still reach its entries, which can serve nothing; the platform sends new connections to other zones only if the entries fail their readiness checks. Ruled out: readiness by endpoints alone, which would take out all entries when the endpoints are down for all. Change: entry/edge/isolation.go: no endpoint reachable and no entry of another zone heard makes an entry unready; requests are refused with the time after which a new connection reaches other entries, and the connection closes. An outage by unreachable zones has an estimate of its own. Trials go on without any other slot.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -37,7 +37,7 @@
 // dispatchOne starts the most urgent request for which there is capacity. Requests
 // that can meet their target go before those that cannot.
 func (s *Scheduler) dispatchOne(now time.Duration) bool {
-	if float64(s.busy()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
+	if s.freeSlots() <= 0 && s.waiting[0].sortKey != 0 {
 		return false
 	}
 	for _, late := range []bool{false, true} {
@@ -124,6 +124,12 @@
 	if now+s.firstEventLatency.at(now).mean/2 > r.Deadline && !s.trialDue(r, now) {
 		return Decision{Reason: TooLate}, true
 	}
+	if s.zoneTrialDue(r, now) {
+		return Decision{}, false
+	}
+	if d, ok := s.elsewhere(r); ok {
+		return d, true
+	}
 	limit := s.maxWait(r, now)
 	if s.down {
 		if remaining := s.remainingOutage(now); remaining > limit {
@@ -162,7 +168,7 @@
 // Once an outage exceeds the estimate, its excess is the only evidence and the
 // result grows with it.
 func (s *Scheduler) remainingOutage(now time.Duration) time.Duration {
-	remaining := s.outageEstimate - (now - s.downSince)
+	remaining := s.outageEstimates[s.cause] - (now - s.downSince)
 	return max(remaining, -remaining/overdueDivisor, minRemainingOutage)
 }
 
@@ -195,6 +201,10 @@
 func (s *Scheduler) refuseExpired(now time.Duration) {
 	var out []*Item
 	s.waiting = slices.DeleteFunc(s.waiting, func(item *Item) bool {
+		if _, ok := s.elsewhere(&item.Request); ok {
+			out = append(out, item)
+			return true
+		}
 		if s.anyUsable(&item.Request) && (s.maxWait(&item.Request, now) > 0 || s.trialDue(&item.Request, now)) {
 			return false
 		}
@@ -207,6 +217,10 @@
 		case !s.anyUsable(&item.Request):
 			d = Decision{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
 		case s.down:
+			if e, ok := s.elsewhere(&item.Request); ok {
+				d = e
+				break
+			}
 			d = Decision{Reason: GroupDown, RetryAfter: s.remainingOutage(now)}
 		case s.allBreakersOpen():
 			d = Decision{Reason: GroupDown, RetryAfter: minRemainingOutage}
--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -290,9 +290,14 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// freeSlots returns the number of requests that may start before MaxUtilization is reached.
+// freeSlots returns the number of requests that may start before MaxUtilization is reached. Without any
+// slot, one may start as a trial.
 func (s *Scheduler) freeSlots() int {
-	return int(math.Ceil(s.cfg.MaxUtilization*float64(s.slots()))) - s.busy()
+	slots := s.slots()
+	if slots == 0 {
+		return 1
+	}
+	return int(math.Ceil(s.cfg.MaxUtilization*float64(slots))) - s.busy()
 }
 
 // mayUse reports whether a request may use one of the free slots: more urgent requests that wait at other entries
--- a/balance/scheduler/reach.go
+++ b/balance/scheduler/reach.go
@@ -123,7 +123,45 @@
 	return found
 }
 
-// updateOutage begins or ends the outage of a service whose endpoints cannot be reached.
+// outageCause is why no endpoint of a service can be used.
+type outageCause uint8
+
+const (
+	groupsDown outageCause = iota
+	zonesUnreachable
+	outageCauses = iota
+)
+
+// updateOutage begins or ends the outage of a service whose groups are down or whose endpoints cannot be reached.
 func (s *Scheduler) updateOutage(now time.Duration) {
-	s.setDown(s.groupsDown || s.allUnreachable(), now)
+	unreachable := s.allUnreachable()
+	switch {
+	case s.down:
+	case unreachable:
+		s.cause = zonesUnreachable
+	case s.groupsDown:
+		s.cause = groupsDown
+	}
+	s.setDown(s.groupsDown || unreachable, now)
+}
+
+// zoneTrialDue reports whether a request may start as the trial of an unreachable zone, while nothing else can be reached.
+// Without ranks that are polled, a trial is the only sign of life.
+func (s *Scheduler) zoneTrialDue(r *Request, now time.Duration) bool {
+	return s.Unreachable() && !s.groupsDown && s.leastCost(r, now) != nil
+}
+
+// Unreachable reports whether the entry can reach no endpoint that could serve.
+func (s *Scheduler) Unreachable() bool { return s.down && s.cause == zonesUnreachable }
+
+// SetElsewhere sets after which time a new connection of a client reaches another entry, which may still reach
+// endpoints. A negative time means that this entry serves. While it is set, requests are refused with this time in an outage.
+func (s *Scheduler) SetElsewhere(after time.Duration) { s.elsewhereAfter = after }
+
+// elsewhere returns the refusal of a request that is better served by another entry.
+func (s *Scheduler) elsewhere(r *Request) (Decision, bool) {
+	if !s.down || s.elsewhereAfter < 0 || r.Resumed {
+		return Decision{}, false
+	}
+	return Decision{Reason: Elsewhere, RetryAfter: s.elsewhereAfter}, true
 }
--- a/balance/scheduler/reach_test.go
+++ b/balance/scheduler/reach_test.go
@@ -126,3 +126,28 @@
 		assert.Equal(t, h.submit(h.chatRequest()).Endpoint, id.Endpoint("b"))
 	}
 }
+
+// TestCutOffEntrySendsCallersElsewhere guards against callers who wait at an entry that is cut off until the end of the
+// cut, although their next connection reaches an entry that serves.
+func TestCutOffEntrySendsCallersElsewhere(t *testing.T) {
+	h := cutOffEntry(t)
+	_, _ = h.send(true)
+	h.advance(4500 * ms)
+	for range 2 { // The trials of the zones.
+		assert.Assert(t, h.submit(h.chatRequest()).Endpoint != "")
+	}
+	waiting := h.submit(h.chatRequest())
+	resumed := h.chatRequest()
+	resumed.Resumed = true
+	stream := h.submit(resumed)
+	h.scheduler.SetElsewhere(700 * ms)
+	h.advance(ms)
+	assert.Equal(t, waiting.Reason, Elsewhere)
+	assert.Equal(t, waiting.RetryAfter, 700*ms)
+	assert.Equal(t, h.submit(h.chatRequest()).Reason, Elsewhere)
+	assert.Equal(t, stream.Reason, Reason("")) // Its client cannot take it along.
+	h.scheduler.SetElsewhere(-1)
+	h.scheduler.RecordReachable("b", h.now+ms)
+	h.advance(2 * ms)
+	assert.Assert(t, stream.Endpoint != "")
+}
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -30,8 +30,13 @@
 	// uninterrupted part.
 	downSince, lastDown time.Duration
 	upSince             time.Duration
-	outageEstimate      time.Duration
-	breakers            map[id.Group]*breaker
+	// outageEstimates estimate the length of outages by their cause, cause is that of the last one.
+	outageEstimates [outageCauses]time.Duration
+	cause           outageCause
+	// elsewhereAfter is the time after which a new connection of a client reaches another entry, negative
+	// if this entry serves.
+	elsewhereAfter time.Duration
+	breakers       map[id.Group]*breaker
 	// lastTrial is the last start of a request that by the estimates was too late to start.
 	lastTrial time.Duration
 
@@ -74,7 +79,7 @@
 	return &Scheduler{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), byName: make(map[id.Endpoint]*endpoint), breakers: make(map[id.Group]*breaker),
 		zones:             make(map[id.Zone]*zoneReach),
-		firstEventLatency: newEstimate(cfg.FirstEventLatency), requestDuration: newEstimate(cfg.RequestDuration), outageEstimate: cfg.OutageDuration,
+		firstEventLatency: newEstimate(cfg.FirstEventLatency), requestDuration: newEstimate(cfg.RequestDuration), outageEstimates: [outageCauses]time.Duration{groupsDown: cfg.OutageDuration, zonesUnreachable: cfg.UnreachableDuration}, elsewhereAfter: -1,
 		contention: newContention(),
 	}
 }
@@ -177,7 +182,8 @@
 		s.upSince = now
 		if lasted := now - s.downSince; now-s.lastDown >= minOutage {
 			// An outage has a weight of one half in the moving average.
-			s.outageEstimate = (s.outageEstimate + min(lasted, 2*s.cfg.OutageDuration)) / 2
+			e := &s.outageEstimates[s.cause]
+			*e = (*e + min(lasted, 2*s.cfg.outage(s.cause))) / 2
 		}
 	}
 	s.down = down
--- a/balance/scheduler/types.go
+++ b/balance/scheduler/types.go
@@ -31,6 +31,9 @@
 	// OutageDuration is the initial estimate of a group's outage. Default: 5.5 s, for
 	// the detection of a crash, the restart of the process and the re-forming of the group.
 	OutageDuration time.Duration
+	// UnreachableDuration is the initial estimate of the time for which zones are cut off. Default: 5.5 s, some
+	// seconds of a partition and the time in which groups re-form.
+	UnreachableDuration time.Duration
 	// Overcommit is the number of requests beyond its slots that an endpoint may
 	// have, which queue there for a slot. Default: 0.
 	Overcommit int
@@ -57,6 +60,7 @@
 	setDefault(&c.FirstEventLatency, 100*time.Millisecond)
 	setDefault(&c.RequestDuration, c.FirstEventLatency)
 	setDefault(&c.OutageDuration, 5500*time.Millisecond)
+	setDefault(&c.UnreachableDuration, 5500*time.Millisecond)
 	setDefault(&c.PromptTokensPerRequest, 200)
 	setDefault(&c.MaxUtilization, 1)
 	setDefault(&c.Affinity, 4)
@@ -64,6 +68,14 @@
 	return c
 }
 
+// outage returns the initial estimate of an outage.
+func (c Config) outage(cause outageCause) time.Duration {
+	if cause == zonesUnreachable {
+		return c.UnreachableDuration
+	}
+	return c.OutageDuration
+}
+
 func setDefault[T int | float64 | time.Duration](p *T, v T) {
 	if *p == 0 {
 		*p = v
@@ -127,6 +139,8 @@
 	GroupDown Reason = "the group is down"
 	// Overload means that the request cannot start in time.
 	Overload Reason = "all endpoints are busy"
+	// Elsewhere means that this entry can reach no endpoint, and that other entries may.
+	Elsewhere Reason = "this entry is cut off from the endpoints"
 	// TooLate means that too little time remains until the request's deadline.
 	TooLate Reason = "its time is over"
 )
--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -56,6 +56,7 @@
 	d.RetryAfter = max(d.RetryAfter, minRetryAfter)
 	h.requestLog.refused(q, d, http.StatusServiceUnavailable)
 	h.opt.Codec.WriteRefusal(w.Header(), Refusal{RetryAfter: d.RetryAfter})
+	closeIfElsewhere(w, d)
 	http.Error(w, string(d.Reason), http.StatusServiceUnavailable)
 }
 
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -316,6 +316,21 @@
 	}
 }
 
+// unreachable reports whether this entry can reach no endpoint of the service that could serve.
+func (s *Service) unreachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Unreachable()
+}
+
+// setElsewhere sets after which time new connections of clients reach another entry, negative if this one serves.
+func (s *Service) setElsewhere(after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetElsewhere(after)
+	s.dispatch()
+}
+
 // logReach logs that the zone of an endpoint was lost or is reachable again. The caller holds mu.
 func (s *Service) logReach(name id.Endpoint, event string) {
 	zone := id.Zone("")
--- a/entry/edge/control.go
+++ b/entry/edge/control.go
@@ -84,6 +84,8 @@
 		return "the entry is leaving"
 	case e.handler.Table() == nil:
 		return "no configuration is known yet"
+	case e.isolated.Load():
+		return "the entry is cut off from endpoints and other zones"
 	}
 	return ""
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -131,6 +131,10 @@
 	controlServer *http.Server
 	metricsServer *http.Server
 	leaving       atomic.Bool
+	// isolation and sentElsewhere belong to the goroutine of applyLoads.
+	isolation     isolation
+	sentElsewhere bool
+	isolated      atomic.Bool
 	ctx           context.Context
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup
@@ -261,7 +265,7 @@
 }
 
 func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.handler.Table() == nil {
+	if e.notReady() != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -310,8 +314,9 @@
 		select {
 		case <-e.ctx.Done():
 			return
-		case <-t.C:
+		case now := <-t.C:
 			e.loads.ApplyPending()
+			e.updateIsolation(now)
 		}
 	}
 }
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -312,6 +312,20 @@
 	return time.Since(p.lastSeen), true
 }
 
+// OtherZonesSilence returns the time since the last exchange with a member in another zone. It returns false if no
+// member in another zone was ever heard.
+func (m *Mesh) OtherZonesSilence() (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var last time.Time
+	for _, p := range m.peers {
+		if p.member.Zone != m.opt.Self.Zone && p.lastSeen.After(last) {
+			last = p.lastSeen
+		}
+	}
+	return time.Since(last), !last.IsZero()
+}
+
 // Trust implements keys.TrustFunc: a peer is trusted if its certificate is registered,
 // or if its IP address is that of a known host or a seed. A host that could not
 // register yet is thus identified by its address in the platform's network.
