Places at the ranks of a group follow its pace

Cause: a group that has just formed runs with unplaced experts, and a group that takes the load of another runs full: gaps between events are longer than the routes allow for all streams, long before the slots are taken.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -10,6 +10,7 @@
 // interval while requests wait.
 func (s *Scheduler) Dispatch(now time.Duration) {
 	s.updateOutage(now)
+	s.updatePace(now)
 	s.refuseExpired(now)
 	if s.groupsDown {
 		return
@@ -70,7 +71,7 @@
 		if !e.accepts(now) || s.breakerBlocks(e, now) || s.zoneBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
 			return false
 		}
-		if e.ownLoad.Running+e.peerLoad.Running >= e.Slots+s.cfg.Overcommit {
+		if e.ownLoad.Running+e.peerLoad.Running >= s.places(e)+s.cfg.Overcommit {
 			return false
 		}
 		if cost := s.cost(e, now); best == nil || cost < least {
@@ -108,7 +109,7 @@
 	if !e.Preferred && len(s.preferred) > 0 {
 		requests += s.cfg.Affinity
 	}
-	cost := requests * e.slowdown / float64(max(e.Slots, 1))
+	cost := requests * e.slowdown * e.slowness / float64(max(e.Slots, 1))
 	if e.suspectUntil > now {
 		cost += suspectCost
 	}
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -26,6 +26,9 @@
 	// down is true during an outage: all groups are down, or no endpoint can be reached.
 	down, groupsDown bool
 	zones            map[id.Zone]*zoneReach
+	// pace is nil unless places follow the pace of the groups.
+	pace  *PaceConfig
+	paces map[id.Group]*groupPace
 	// downSince is the start of the last outage, lastDown the start of its last
 	// uninterrupted part.
 	downSince, lastDown time.Duration
@@ -62,6 +65,10 @@
 	slowdown float64
 	// blocked is true while the endpoint's group is down.
 	blocked bool
+	// slowness is how much slower than predicted the endpoint's group is, pacedSlots the number of requests that
+	// it may have for that; both are set by updatePace.
+	slowness   float64
+	pacedSlots int
 	// group is empty if unknown.
 	group   id.Group
 	backoff backoff
@@ -78,7 +85,7 @@
 	cfg = cfg.withDefaults()
 	return &Scheduler{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed)), byName: make(map[id.Endpoint]*endpoint), breakers: make(map[id.Group]*breaker),
-		zones:             make(map[id.Zone]*zoneReach),
+		zones: make(map[id.Zone]*zoneReach), paces: make(map[id.Group]*groupPace),
 		firstEventLatency: newEstimate(cfg.FirstEventLatency), requestDuration: newEstimate(cfg.RequestDuration), outageEstimates: [outageCauses]time.Duration{groupsDown: cfg.OutageDuration, zonesUnreachable: cfg.UnreachableDuration}, elsewhereAfter: -1,
 		contention: newContention(),
 	}
@@ -91,7 +98,7 @@
 	for _, e := range list {
 		old := s.byName[e.Name]
 		if old == nil {
-			old = &endpoint{slowdown: 1}
+			old = &endpoint{slowdown: 1, slowness: 1}
 		}
 		old.Endpoint = e
 		next[e.Name] = old
@@ -150,11 +157,15 @@
 	}
 }
 
-// SetBlocked sets whether requests are kept from an endpoint because its group is down.
-func (s *Scheduler) SetBlocked(name id.Endpoint, blocked bool) {
-	if e := s.byName[name]; e != nil {
-		e.blocked = blocked
+// SetBlocked sets whether requests are kept from an endpoint because its group is down, and reports whether that is new.
+func (s *Scheduler) SetBlocked(name id.Endpoint, blocked bool) (changed bool) {
+	e := s.byName[name]
+	if e == nil {
+		return false
 	}
+	changed = e.blocked != blocked
+	e.blocked = blocked
+	return changed
 }
 
 // Suspect deprioritizes an endpoint below all others until a time.
@@ -168,6 +179,7 @@
 func (s *Scheduler) SetDown(down bool, now time.Duration) {
 	s.groupsDown = down
 	s.updateOutage(now)
+	s.updatePace(now)
 }
 
 func (s *Scheduler) setDown(down bool, now time.Duration) {
@@ -251,7 +263,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.accepts(now) && !s.inUnreachableZone(e) {
-			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
+			sum += max(s.places(e)+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
 		}
 	}
 	return sum
@@ -315,7 +327,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if s.serves(e) {
-			sum += e.Slots + s.cfg.Overcommit
+			sum += s.places(e) + s.cfg.Overcommit
 		}
 	}
 	return sum
@@ -373,7 +385,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if s.serves(e) {
-			sum += e.Slots
+			sum += s.places(e)
 		}
 	}
 	return sum
