A congestion shortens the queue

Cause: with the callers of a zone that is cut off served by the other zones, one group has all the load; requests waited up to their clients' patience (the middle one of priority 1 for 408 ms, one in four over 900 ms), and were late when they started. Ruled out: the order alone (late requests of a rank go after timely ones, but a queue of seconds makes all late). The most urgent rank has reserved slots; floors fall with the rank; the pace counts the deviation of gaps, since the longest gap of a stream decides.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -13,14 +13,16 @@
 	s.updatePace(now)
 	s.refuseExpired(now)
 	if s.groupsDown {
+		s.congestion.update(0, now)
 		return
 	}
 	if s.ranked {
 		s.dispatchByRank(now)
-		return
-	}
-	for len(s.waiting) > 0 && s.dispatchOne(now) {
+	} else {
+		for len(s.waiting) > 0 && s.dispatchOne(now) {
+		}
 	}
+	s.congestion.update(len(s.waiting), now)
 }
 
 // start starts a request that is no longer in the queue.
@@ -141,8 +143,9 @@
 	if wait := s.earliestStart(r, now) - now; wait > limit && wait > 0 {
 		return Decision{Reason: Overload, RetryAfter: wait}, true
 	}
+	limit = s.queueLimit(r, now)
 	if wait := s.expectedWait(item, now); wait > limit && (wait > 0 || !s.trialDue(r, now)) {
-		return Decision{Reason: Overload, RetryAfter: wait - limit}, true
+		return Decision{Reason: Overload, RetryAfter: max(wait-limit, s.congestionRetry(now))}, true
 	}
 	return Decision{}, false
 }
@@ -206,6 +209,10 @@
 			out = append(out, item)
 			return true
 		}
+		if s.refuseCongested(&item.Request, now) {
+			out = append(out, item)
+			return true
+		}
 		if s.anyUsable(&item.Request) && (s.maxWait(&item.Request, now) > 0 || s.trialDue(&item.Request, now)) {
 			return false
 		}
@@ -213,7 +220,7 @@
 		return true
 	})
 	for _, item := range out {
-		d := Decision{Reason: Overload, RetryAfter: max(s.expectedWait(item, now), s.earliestStart(&item.Request, now)-now)}
+		d := Decision{Reason: Overload, RetryAfter: max(s.expectedWait(item, now), s.earliestStart(&item.Request, now)-now, s.congestionRetry(now))}
 		switch {
 		case !s.anyUsable(&item.Request):
 			d = Decision{Reason: NoEndpoint, RetryAfter: noEndpointRetryAfter}
--- a/balance/scheduler/pace.go
+++ b/balance/scheduler/pace.go
@@ -25,29 +25,47 @@
 	gapMargin = 0.9
 	// slownessDivisor is the inverse weight of an observed gap.
 	slownessDivisor = 32
-	// maxSlowness bounds what one gap can add: longer ones are stalls, or clients that read slowly.
-	maxSlowness = 4
+	// maxSlowness bounds the ratio of a gap, and maxSlownessStep what one gap adds to the mean before it is weighted: longer
+	// ones are stalls, or clients that read slowly.
+	maxSlowness     = 4
+	maxSlownessStep = 1
 	// slownessFreshFor is the time after the last observed gap for which a slowness keeps its value. After it, it
 	// returns to one with slownessHalfLife: a group that gets no requests is never seen to be faster.
 	slownessFreshFor = time.Second
 	slownessHalfLife = time.Second
+	// longestGapDeviations is how many mean deviations the longest of some twenty gaps lies above the mean.
+	longestGapDeviations = 3
 	// minPacedFraction is the part of its slots that an endpoint keeps, however slow its group is.
 	minPacedFraction = 0.4
 )
 
-// groupPace is the pace of a group relative to the prediction.
+// groupPace is the pace of a group relative to the prediction: moving averages of the ratio and of its absolute
+// deviation.
 type groupPace struct {
-	slowness   float64
-	observedAt time.Duration
+	mean, deviation float64
+	observedAt      time.Duration
 }
 
-// at returns the slowness at a time, at least one.
-func (p *groupPace) at(now time.Duration) float64 {
+// at returns the pace at a time.
+func (p *groupPace) at(now time.Duration) groupPace {
 	age := now - p.observedAt - slownessFreshFor
 	if age <= 0 {
-		return max(p.slowness, 1)
+		return *p
 	}
-	return max(1+(p.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife)), 1)
+	weight := math.Exp2(-float64(age) / float64(slownessHalfLife))
+	return groupPace{mean: 1 + (p.mean-1)*weight, deviation: p.deviation * weight}
+}
+
+// longest is the ratio that the longest gap of a stream of usual length seldom exceeds.
+func (p groupPace) longest() float64 { return max(p.mean+longestGapDeviations*p.deviation, 1) }
+
+func (p *groupPace) add(ratio float64, now time.Duration) {
+	next := p.at(now)
+	diff := min(ratio-next.mean, maxSlownessStep)
+	next.mean += diff / slownessDivisor
+	next.deviation += (math.Abs(diff) - next.deviation) / slownessDivisor
+	next.observedAt = now
+	*p = next
 }
 
 // SetPace sets how the pace of groups is predicted. Nil ends the limits by pace.
@@ -66,10 +84,8 @@
 	if s.pace == nil || e == nil || e.group == "" {
 		return
 	}
-	p := s.groupPace(e.group)
 	ratio := min(float64(gap)/float64(s.predictedGap(s.meanRunning(e.group))), maxSlowness)
-	p.slowness = p.at(now) + (ratio-p.at(now))/slownessDivisor
-	p.observedAt = now
+	s.groupPace(e.group).add(ratio, now)
 }
 
 // RecordFormation records that a group serves again after it was down.
@@ -77,13 +93,13 @@
 	if s.pace == nil || group == "" {
 		return
 	}
-	*s.groupPace(group) = groupPace{slowness: s.pace.InitialSlowness, observedAt: now}
+	*s.groupPace(group) = groupPace{mean: s.pace.InitialSlowness, observedAt: now}
 }
 
 func (s *Scheduler) groupPace(group id.Group) *groupPace {
 	p := s.paces[group]
 	if p == nil {
-		p = &groupPace{slowness: 1}
+		p = &groupPace{mean: 1}
 		s.paces[group] = p
 	}
 	return p
@@ -112,17 +128,18 @@
 		return
 	}
 	for _, e := range s.endpoints {
-		e.slowness = 1
+		pace := groupPace{mean: 1}
 		if p := s.paces[e.group]; p != nil {
-			e.slowness = p.at(now)
+			pace = p.at(now)
 		}
-		e.pacedSlots = s.pacedSlots(e)
+		e.slowness = max(pace.mean, 1)
+		e.pacedSlots = s.pacedSlots(e, pace.longest())
 	}
 }
 
 // pacedSlots returns the number of requests with which the streams of an endpoint are still on time.
-func (s *Scheduler) pacedSlots(e *endpoint) int {
-	room := gapMargin*float64(s.pace.MaxGap)/e.slowness - float64(s.pace.Overhead)
+func (s *Scheduler) pacedSlots(e *endpoint, slowness float64) int {
+	room := gapMargin*float64(s.pace.MaxGap)/slowness - float64(s.pace.Overhead)
 	limit := int(room / float64(max(s.pace.PerRequest, 1)))
 	return min(max(limit, int(math.Ceil(minPacedFraction*float64(e.Slots)))), e.Slots)
 }
--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -27,11 +27,18 @@
 	// minServedFraction is the part of the usual fraction of started requests that each rank and each team
 	// gets, whatever is more urgent. Callers may not be served less than a quarter as often as all.
 	minServedFraction = 0.4
+	// servedFractionStep lowers it for each more urgent rank, down to leastServedFraction: a rank with few requests at an entry
+	// overshoots its floor, and would else be served more than a more urgent one.
+	servedFractionStep  = 0.05
+	leastServedFraction = 0.3
 	// minUsage is the number of requests from which on a fraction of them is meaningful.
 	minUsage = 4
 	// minRankRate is the part of the start rate that remains for the least urgent requests in
 	// predictions.
 	minRankRate = 0.1
+	// reservedFraction is the part of the slots that only the most urgent rank may take: some tens of milliseconds of its
+	// arrivals, which then need not wait for the end of another request.
+	reservedFraction = 0.05
 	// fairShareExcess is how far the usage of a team may exceed the mean of the teams with requests before its
 	// requests go after those of others with the same rank.
 	fairShareExcess = 1.5
@@ -140,10 +147,23 @@
 	return [3]*usage{&c.all, entryOf(c.ranks, r.Rank), entryOf(c.teams, r.Team)}
 }
 
-// starves reports whether the rank or the team of a request is served so much less than all that it goes first.
+// starves reports whether the rank or the team of a request is served so much less than all that it goes first. A
+// rank does not pass a more urgent one that is served even less.
 func (c *contention) starves(r *Request, now time.Duration) bool {
-	floor := minServedFraction * c.all.fraction(now)
-	return entryOf(c.ranks, r.Rank).fraction(now) < floor || entryOf(c.teams, r.Team).fraction(now) < floor
+	all := c.all.fraction(now)
+	own := entryOf(c.ranks, r.Rank).fraction(now)
+	part := minServedFraction
+	for rank, u := range c.ranks {
+		if !rank.Before(r.Rank) {
+			continue
+		}
+		if u.fraction(now) < min(own, minServedFraction*all) {
+			return false
+		}
+		part -= servedFractionStep
+	}
+	floor := max(part, leastServedFraction) * all
+	return own < floor || entryOf(c.teams, r.Team).fraction(now) < floor
 }
 
 // overFairShare reports whether a team had clearly more than the mean of the teams with requests.
@@ -306,7 +326,16 @@
 	if free <= 0 {
 		return false
 	}
-	return k.starved || free > s.contention.waitingBefore(k.item.Request.Rank)
+	r := k.item.Request.Rank
+	return k.starved || free > s.contention.waitingBefore(r)+s.reserved(r, now)
+}
+
+// reserved returns the number of free slots that a rank leaves to more urgent ones that are in demand.
+func (s *Scheduler) reserved(r Rank, now time.Duration) int {
+	if s.contention.arrivalsBefore(r, now) < 1 {
+		return 0
+	}
+	return int(reservedFraction * s.cfg.MaxUtilization * float64(s.slots()))
 }
 
 // WaitingByRank returns the number of waiting requests of each rank, the most urgent first.
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -53,6 +53,9 @@
 	// ranked is true if requests compete by rank, as contention decides.
 	ranked     bool
 	contention contention
+	// shortQueue is true if a congestion shortens the queue.
+	shortQueue bool
+	congestion congestion
 }
 
 type endpoint struct {
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -106,6 +106,7 @@
 		pace = &scheduler.PaceConfig{Overhead: steps * e.StepTime, PerRequest: steps * e.StepTimePerSequence, MaxGap: s.config.MaxEventGap}
 	}
 	s.scheduler.SetPace(pace)
+	s.scheduler.SetShortQueue(s.pacing && s.config.Engine != nil)
 }
 
 // routePriorities returns the different priorities of the service's routes.
