Overload control follows the platform's settings

Cause: pace, short queue and the sending of callers elsewhere change how a deployment is served; earlier ones are to be served as before.

--- a/balance/scheduler/rank_test.go
+++ b/balance/scheduler/rank_test.go
@@ -21,7 +21,7 @@
 	target, patience time.Duration
 }
 
-// standardClasses are three classes that a service with 320 slots serves in calm. The least urgent one
+// standardClasses are three classes that together need nearly all of the 320 slots of a service. The least urgent one
 // has the longest target and the most patient clients.
 func standardClasses() []loadClass {
 	return []loadClass{
@@ -240,7 +240,7 @@
 
 // TestUrgentClassesAreServedFirst guards against an order of classes that is upside down when the room is too little: by target
 // and patience alone, the least urgent class with the longest target is served most. Each case is a load
-// on a service that serves its usual load in calm.
+// on a service that is nearly full.
 func TestUrgentClassesAreServedFirst(t *testing.T) {
 	second := time.Second
 	burst := func(class int, factor float64) map[time.Duration]func(*contentionRun) {
@@ -254,7 +254,7 @@
 		12 * second: func(x *contentionRun) { x.setUsable(modelEndpoints) },
 	}
 	cases := map[string]contentionModel{
-		"calm":                             {entries: 15},
+		"load at the capacity":             {entries: 15},
 		"burst of the least urgent class":  {entries: 15, at: burst(2, 6)},
 		"burst of the most urgent class":   {entries: 15, at: burst(0, 2.5)},
 		"loss of a zone":                   {entries: 15, at: loss},
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -33,8 +33,9 @@
 	Entries func() int
 	// Retries is the budget of all entries together for each service.
 	Retries retry.WindowConfig
-	// Pacing makes the places at endpoints follow the pace of their groups.
-	Pacing bool
+	// OverloadControl makes the places at ranks follow the pace of their groups, and shortens the queue during a
+	// congestion.
+	OverloadControl bool
 	// Source is the local address for connections to endpoints. Default: chosen by the
 	// operating system.
 	Source netip.Addr
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -50,8 +50,8 @@
 	departures map[id.Endpoint]departure
 	backoffs   map[id.Endpoint]time.Duration
 	set        *metrics.Set
-	// pacing is true if the places at endpoints follow the pace of their groups.
-	pacing bool
+	// overloadControl is Options.OverloadControl.
+	overloadControl bool
 	// place is the entry's position among placeCount entries; both are zero in a small fleet.
 	place, placeCount int
 	dispatchScheduled bool
@@ -65,7 +65,7 @@
 		detector: outlier.New(outlier.Config{}), window: retry.NewWindow(opt.Retries),
 		backends: make(map[id.Endpoint]*Backend), replaced: make(map[id.Endpoint]bool),
 		departures: make(map[id.Endpoint]departure), backoffs: make(map[id.Endpoint]time.Duration), set: opt.Metrics,
-		pacing: opt.Pacing, quarantine: newPartQuarantine(c.Name, opt),
+		overloadControl: opt.OverloadControl, quarantine: newPartQuarantine(c.Name, opt),
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
 	s.applyPolicy()
@@ -101,12 +101,12 @@
 func (s *Service) applyPolicy() {
 	s.scheduler.SetRanked(s.config.Ranked())
 	var pace *scheduler.PaceConfig
-	if e := s.config.Engine; e != nil && e.Experts != nil && s.config.MaxEventGap > 0 && s.pacing {
+	if e := s.config.Engine; e != nil && e.Experts != nil && s.config.MaxEventGap > 0 && s.overloadControl {
 		steps := time.Duration(max(e.StepsPerPass, 1))
 		pace = &scheduler.PaceConfig{Overhead: steps * e.StepTime, PerRequest: steps * e.StepTimePerSequence, MaxGap: s.config.MaxEventGap}
 	}
 	s.scheduler.SetPace(pace)
-	s.scheduler.SetShortQueue(s.pacing && s.config.Engine != nil)
+	s.scheduler.SetShortQueue(s.overloadControl && s.config.Engine != nil)
 }
 
 // routePriorities returns the different priorities of the service's routes.
@@ -276,7 +276,7 @@
 	s := x.service
 	now := s.now()
 	s.lastEvent.Store(int64(now))
-	if x.lastEvent != 0 && s.pacing {
+	if x.lastEvent != 0 && s.overloadControl {
 		s.mu.Lock()
 		s.scheduler.RecordGap(x.Backend.Name, now-x.lastEvent, now)
 		s.mu.Unlock()
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -77,8 +77,9 @@
 	StoreAddress string
 	// MaxConfigDelay is the time within which a new configuration must be in force. Default: 2 s.
 	MaxConfigDelay time.Duration
-	// LearnedLimits makes the requests that an endpoint may have follow how many it takes well.
-	LearnedLimits bool
+	// OverloadControl serves fewer requests in time instead of more of them late: places at ranks follow the pace of
+	// their groups, a congestion shortens the queue, and an entry that is cut off sends its callers to other zones.
+	OverloadControl bool
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
 }
@@ -193,7 +194,7 @@
 		return nil, err
 	}
 	e.handler = direct.NewHandler(direct.Options{
-		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Pacing: cfg.LearnedLimits, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
+		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, OverloadControl: cfg.OverloadControl, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
--- a/entry/edge/isolation.go
+++ b/entry/edge/isolation.go
@@ -40,6 +40,9 @@
 
 // updateIsolation lets the platform send clients to other zones while this entry is cut off.
 func (e *Edge) updateIsolation(now time.Time) {
+	if !e.cfg.OverloadControl {
+		return
+	}
 	silence, heard := e.mesh.OtherZonesSilence()
 	if e.isolation.update(e.handler.Unreachable(), silence, heard, e.mesh.Interval(), now) {
 		e.isolated.Store(e.isolation.isolated)
