Entries share the free slots while requests wait elsewhere

Cause: while a service is full, each of ten entries saw the same free slots 60 to 180 ms late and started its requests in all of them: 389 requests on 320 places. New requests of the most urgent rank then waited for 200 to 450 ms until the excess had ended, and others queued at the endpoints (one in ten for over 800 ms). Change: with the waiting requests of the others, an entry learns its part of the free slots; until the next exchange it may start that many and as many as its own requests free. The most urgent rank in demand may start in any free slot.

--- a/balance/scheduler/pace.go
+++ b/balance/scheduler/pace.go
@@ -36,7 +36,7 @@
 	// longestGapDeviations is how many mean deviations the longest of some twenty gaps lies above the mean.
 	longestGapDeviations = 3
 	// minPacedFraction is the part of its slots that an endpoint keeps, however slow its group is.
-	minPacedFraction = 0.4
+	minPacedFraction = 0.6
 )
 
 // groupPace is the pace of a group relative to the prediction: moving averages of the ratio and of its absolute
--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -76,6 +76,9 @@
 	teams  map[id.Team]*usage
 	peers  []RankCount // waiting at other entries
 	arrive map[Rank]*rateEstimate
+	// budget is the number of requests that this entry may start before it hears of the others again, while requests wait
+	// there too: its part of the free slots, and those that its own requests free.
+	budget float64
 }
 
 // RankCount is a number of requests of a rank.
@@ -283,6 +286,7 @@
 		if e == nil {
 			continue
 		}
+		s.contention.budget--
 		s.waiting = slices.DeleteFunc(s.waiting, func(w *Item) bool { return w == k.item })
 		s.start(k.item, e, k.late, now)
 		free--
@@ -327,6 +331,9 @@
 		return false
 	}
 	r := k.item.Request.Rank
+	if len(s.contention.peers) > 0 && s.contention.budget < 1 && s.contention.arrivalsBefore(r, now) >= 1 {
+		return false // The other entries see the same free slots.
+	}
 	return k.starved || free > s.contention.waitingBefore(r)+s.reserved(r, now)
 }
 
@@ -351,8 +358,19 @@
 	return out
 }
 
-// SetPeerWaiting sets the number of requests that wait at other entries.
-func (s *Scheduler) SetPeerWaiting(waiting []RankCount) { s.contention.peers = waiting }
+// SetPeerWaiting sets the number of requests that wait at other entries. It is called after SetPeerLoad.
+func (s *Scheduler) SetPeerWaiting(waiting []RankCount) {
+	s.contention.peers = waiting
+	elsewhere := 0
+	for _, w := range waiting {
+		elsewhere += w.Count
+	}
+	own := len(s.waiting)
+	s.contention.budget = 0
+	if own > 0 {
+		s.contention.budget = s.rng.Float64() + float64(max(s.freeSlots(), 0))*float64(own)/float64(own+elsewhere)
+	}
+}
 
 // SetRanked sets whether requests compete by rank.
 func (s *Scheduler) SetRanked(ranked bool) { s.ranked = ranked }
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -294,6 +294,7 @@
 		return
 	}
 	e.ownLoad.Running = max(e.ownLoad.Running-1, 0)
+	s.contention.budget++
 	e.backoff.recordEnd(now-elapsed, answered)
 	if !answered {
 		e.ownLoad.PromptTokens = max(e.ownLoad.PromptTokens-r.PromptTokens, 0)
