No request is written to an endpoint of an evacuated zone

Cause: a zone that is taken out must get no new, queued, repeated or resumed request, nor one that was assigned to an endpoint but not yet written: a connection may take 200 ms to open. Ruled out: the choice of the endpoint alone, which leaves that time open, and a check of all rules for endpoints before the write, which the other rules do not ask for. Change: direct.Handler.SetEvacuated, Service.isUsable, Service.zoneRestored. upstream.Request.BeforeWrite is called immediately before the first byte; an attempt that it stops counts as not sent, costs no repeat and says nothing of the endpoint. With Options.AwaitEvacuated nothing is sent before the set is known. The scheduler compares the slots of usable endpoints with the requests at these only: those that still run at withdrawn endpoints kept free slots elsewhere empty. TestRequestsAtUnusableEndpointsHoldNoOthers failed before the scheduler's change; the tests of entry/direct, entry/upstream and balance/scheduler pass.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -20,7 +20,7 @@
 // dispatchOne starts the most urgent request for which there is capacity. Requests
 // that can meet their target go before those that cannot.
 func (s *Scheduler) dispatchOne(now time.Duration) bool {
-	if float64(s.running()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
+	if float64(s.runningAtUsable()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
 		return false
 	}
 	for _, late := range []bool{false, true} {
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -327,6 +327,18 @@
 	return sum
 }
 
+// runningAtUsable returns the number of requests at the usable endpoints. Those that end at others
+// occupy no slot that slots counts.
+func (s *Scheduler) runningAtUsable() int {
+	sum := 0
+	for _, e := range s.endpoints {
+		if e.Usable {
+			sum += e.ownLoad.Running + e.peerLoad.Running
+		}
+	}
+	return sum
+}
+
 // slots returns the number of slots of the usable endpoints.
 func (s *Scheduler) slots() int {
 	sum := 0
--- a/balance/scheduler/scheduler_test.go
+++ b/balance/scheduler/scheduler_test.go
@@ -263,3 +263,14 @@
 	assert.Equal(t, late.Reason, GroupDown)
 	assert.Equal(t, late.RetryAfter, 5100*time.Millisecond)
 }
+
+// TestRequestsAtUnusableEndpointsHoldNoOthers guards against free slots that stay empty while the
+// requests of endpoints that were taken out of use run to their end.
+func TestRequestsAtUnusableEndpointsHoldNoOthers(t *testing.T) {
+	h := newHarness(t, Config{}, usableEndpoint("a", 4), usableEndpoint("b", 4))
+	h.scheduler.SetPeerLoad("a", Load{Running: 4})
+	h.scheduler.SetUsable("a", false)
+	for range 4 {
+		assert.Equal(t, h.submit(h.chatRequest()).Endpoint, id.Endpoint("b"))
+	}
+}
--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -113,7 +113,7 @@
 	if errors.Is(err, errStreamSilent) || errors.Is(err, errAttemptTimeout) {
 		return Hung
 	}
-	if errors.Is(err, errQuarantined) || errors.Is(err, errStopping) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, errZoneEvacuated) || errors.Is(err, errQuarantined) || errors.Is(err, errStopping) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return Neutral
 	}
 	return Failed
@@ -130,7 +130,7 @@
 		f.Team = q.team.Name
 	}
 	h.opt.Codec.WriteForward(header, f)
-	out := &upstream.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body}
+	out := &upstream.Request{Method: q.method, Target: q.target, Host: q.host, Header: header, Body: q.body, BeforeWrite: slot.mayWrite}
 	// A reused connection may be dead unnoticed. Requests that must not be repeated or have failed
 	// before use a new one. So do further tries of those that may run once: on a connection that
 	// carried an earlier try, a late copy of its refusal could be taken for the answer.
@@ -139,7 +139,7 @@
 	x, err := slot.Backend.Pool.Do(ctx, out, fresh)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errZoneEvacuated) {
 			q.service.MarkUnreachable(slot.Backend.Name)
 		}
 		return nil, err
@@ -238,7 +238,7 @@
 	if why == "" || (!errors.As(err, &notSent) && !q.takeRetry()) {
 		return false
 	}
-	if !resp.groupDown() {
+	if !resp.groupDown() && !errors.Is(err, errZoneEvacuated) {
 		q.excluded = append(q.excluded, slot.Backend.Name)
 	}
 	h.requestLog.repeated(q, slot.Backend.Name, err, why)
@@ -270,6 +270,8 @@
 func (q *request) retryReason(resp *response, err error) string {
 	var notSent *upstream.NotSentError
 	switch {
+	case errors.Is(err, errZoneEvacuated):
+		return "the zone was evacuated"
 	case errors.As(err, &notSent):
 		return "no connection"
 	case resp.groupDown() && q.groupDownRefusals <= maxGroupDownRetries:
--- a/entry/direct/departures.go
+++ b/entry/direct/departures.go
@@ -72,7 +72,7 @@
 // isUsable reports whether an endpoint may receive requests. The caller holds mu.
 func (s *Service) isUsable(e Endpoint) bool {
 	d, leaving := s.departures[e.Name]
-	return !e.Draining && !s.replaced[e.Name] && (!leaving || e.RegistrationRevision > d.registration)
+	return !s.evacuated.isOut(e.Zone) && !e.Draining && !s.replaced[e.Name] && (!leaving || e.RegistrationRevision > d.registration)
 }
 
 // pruneSignals forgets departures and back-offs that no longer matter. The caller holds mu.
--- a/entry/direct/departures_test.go
+++ b/entry/direct/departures_test.go
@@ -83,7 +83,7 @@
 // newTestService returns a service with endpoints whose registrations have the given revisions.
 func newTestService(registrations map[id.Endpoint]uint64) (*Service, func(map[id.Endpoint]uint64)) {
 	h := NewHandler(Options{Codec: testCodec{}, Entries: func() int { return 1 }, Log: zerolog.Nop(), Retries: retry.WindowConfig{Length: time.Second}})
-	s := newService(routes.Service{Name: "s"}, h.opt)
+	s := newService(routes.Service{Name: "s"}, h.opt, h.evacuated)
 	set := func(registrations map[id.Endpoint]uint64) {
 		var list []*Backend
 		for name, revision := range registrations {
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -35,7 +35,9 @@
 	// Source is the local address for connections to endpoints. Default: chosen by the
 	// operating system.
 	Source netip.Addr
-	Log    zerolog.Logger
+	// AwaitEvacuated keeps requests from all endpoints until SetEvacuated is called.
+	AwaitEvacuated bool
+	Log            zerolog.Logger
 	// Metrics receives counters and histograms. Default: a new set.
 	Metrics *metrics.Set
 }
@@ -48,8 +50,9 @@
 	table      atomic.Pointer[routes.Table]
 	drain      *drain
 
-	mu       sync.RWMutex // locked before Directory.mu and Service.mu
-	services map[id.Service]*Service
+	mu        sync.RWMutex // locked before Directory.mu and Service.mu
+	services  map[id.Service]*Service
+	evacuated evacuatedZones
 }
 
 // NewHandler returns a handler without a configuration.
@@ -57,7 +60,11 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	return &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source), services: make(map[id.Service]*Service), drain: newDrain()}
+	h := &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source), services: make(map[id.Service]*Service), drain: newDrain()}
+	if !o.AwaitEvacuated {
+		h.evacuated = evacuatedZones{}
+	}
+	return h
 }
 
 // SetTable applies a version of the configuration.
@@ -68,7 +75,7 @@
 	for _, c := range t.Services() {
 		s := h.services[c.Name]
 		if s == nil {
-			s = newService(c, h.opt)
+			s = newService(c, h.opt, h.evacuated)
 		} else {
 			s.configure(c)
 		}
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -45,6 +45,8 @@
 	nameHashes []uint32
 	// replaced holds the endpoints whose address belongs to another instance now.
 	replaced map[id.Endpoint]bool
+	// evacuated holds the zones that are out of service. All are if it is nil.
+	evacuated evacuatedZones
 	// departures holds the endpoints that said that they are leaving, backoffs when those that
 	// asked for a pause accept requests again.
 	departures map[id.Endpoint]departure
@@ -57,13 +59,13 @@
 	peerLoadsAt time.Time
 }
 
-func newService(c routes.Service, opt Options) *Service {
+func newService(c routes.Service, opt Options, evacuated evacuatedZones) *Service {
 	s := &Service{
 		log: opt.Log, name: c.Name, start: time.Now(), peerLoadsAt: time.Now(), entries: opt.Entries, config: c,
 		detector: outlier.New(outlier.Config{}), window: retry.NewWindow(opt.Retries),
 		backends: make(map[id.Endpoint]*Backend), replaced: make(map[id.Endpoint]bool),
 		departures: make(map[id.Endpoint]departure), backoffs: make(map[id.Endpoint]time.Duration), set: opt.Metrics,
-		quarantine: newPartQuarantine(c.Name, opt),
+		quarantine: newPartQuarantine(c.Name, opt), evacuated: evacuated,
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
 	return s
@@ -181,11 +183,11 @@
 }
 
 func (s *Service) slot(item *scheduler.Item, d scheduler.Decision) (*Slot, scheduler.Decision) {
-	if d.Endpoint == "" {
-		return nil, d
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d.Endpoint == "" {
+		return nil, s.explainEvacuation(d)
+	}
 	b := s.backends[d.Endpoint]
 	if b == nil {
 		return nil, scheduler.Decision{Reason: scheduler.NoEndpoint} // It was removed in the meantime.
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -66,6 +66,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BeforeWrite is called once a connection is available, immediately before the first byte is
+	// written. An error prevents the write. It may be nil.
+	BeforeWrite func() error
 }
 
 // conn is a connection to an endpoint. It serves one exchange at a time.
@@ -194,6 +197,12 @@
 // do writes r and reads the response head. It closes the connection when ctx ends.
 // The error is a *NotSentError if no byte was sent.
 func (c *conn) do(ctx context.Context, r *Request) (*Exchange, error) {
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			c.pool.discard(c)
+			return nil, &NotSentError{Cause: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, c.reset)
 	if err := c.send(r); err != nil {
 		stop()
