Entries learn evacuated zones from the store and from each other

Cause: a zone that the operator takes out must be out at all entries within a bound, also at those that the store turns away and at those that start meanwhile. Ruled out: a watch of every entry (360 waiting calls); the order of the other topics, in which a reader gives its own watch 150 ms before it fetches; a wait counted from the start of the process, which is over when a store returns late. Change: the readers list and watch the kind if the setting evacuateMs is positive; the topic "evacuations" passes the set on. An entry is not ready and sends nothing before it knows the set, at most 2 s after it could serve. GET /evacuations, siskinford_evacuated_zones, events zone.evacuated, zone.restored, zone.unknown, evacuation.unreadable, evacuations.unknown and .rejected. Measured: no times; the tests of entry/evacuation, entry/edge, platform/settings and platform/catalog pass.

--- a/entry/edge/control.go
+++ b/entry/edge/control.go
@@ -21,7 +21,10 @@
 // anything.
 func (e *Edge) startControl() error {
 	e.registerGauges()
-	e.controlServer = e.newControlServer(func(r chi.Router) { r.Route("/quarantine", e.addQuarantineRoutes) })
+	e.controlServer = e.newControlServer(func(r chi.Router) {
+		r.Route("/quarantine", e.addQuarantineRoutes)
+		r.Get("/evacuations", e.serveEvacuations)
+	})
 	e.metricsServer = e.newControlServer(func(chi.Router) {})
 	if err := e.listenControl(e.controlServer, e.cfg.ControlListen); err != nil {
 		return err
@@ -84,6 +87,8 @@
 		return "the entry is leaving"
 	case e.handler.Table() == nil:
 		return "no configuration is known yet"
+	case e.evacuationsInUse() && e.evacuations.pending():
+		return "the evacuated zones are not known yet"
 	}
 	return ""
 }
@@ -94,6 +99,10 @@
 	e.set.NewGauge("siskinford_entries_registered", func() float64 { return float64(e.mesh.MemberCount()) })
 	e.set.NewGauge("siskinford_configuration_version", func() float64 { return float64(e.values.versions()[topicConfig]) })
 	e.set.NewGauge("siskinford_endpoints_revision", func() float64 { return float64(e.values.versions()[topicEndpoints]) })
+	e.set.NewGauge("siskinford_evacuated_zones", func() float64 {
+		zones, _ := e.evacuations.zones()
+		return float64(len(zones))
+	})
 	e.set.NewGauge("siskinford_quarantined_parts", func() float64 {
 		blocked := 0
 		for _, p := range e.handler.Quarantine() {
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/entry/direct"
+	"github.com/siskinford/siskinford/entry/evacuation"
 	"github.com/siskinford/siskinford/entry/peer"
 	"github.com/siskinford/siskinford/entry/routes"
 	"github.com/siskinford/siskinford/fleet/mesh"
@@ -41,6 +42,9 @@
 	// ConfigKind and ConfigName identify the configuration object. EndpointKind is
 	// the kind of the objects that register endpoints.
 	ConfigKind, ConfigName, EndpointKind string
+	// EvacuationKind is the kind of the objects whose names are the availability zones that the
+	// operator has taken out of service. Empty if the platform has none.
+	EvacuationKind string
 	// DecodeConfig decodes a configuration without validating it.
 	DecodeConfig func(data []byte) (routes.Config, error)
 	// DecodeEndpoint decodes the registration of the named endpoint. The error says
@@ -77,6 +81,9 @@
 	StoreAddress string
 	// MaxConfigDelay is the time within which a new configuration must be in force. Default: 2 s.
 	MaxConfigDelay time.Duration
+	// EvacuationDelay is the time within which an evacuated zone must get no more requests. Zero if
+	// evacuations are not in use.
+	EvacuationDelay time.Duration
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
 }
@@ -100,6 +107,9 @@
 	if !c.PeerListen.IsValid() {
 		l.Addf("peers", "is not set")
 	}
+	if c.EvacuationDelay < 0 {
+		l.Addf("evacuation delay", "%v is negative", c.EvacuationDelay)
+	}
 	if c.RetryBudget.Length <= 0 || c.RetryBudget.Ratio < 0 || c.RetryBudget.ExtraRetries < 0 {
 		l.Addf("retries", "%+v is not a budget", c.RetryBudget)
 	}
@@ -115,9 +125,11 @@
 	self    mesh.Member
 	store   *objectapi.Client
 	values  values
-	handler *direct.Handler
-	loads   *direct.LoadExchange
-	groups  groupManager
+	// evacuations is used only if evacuationsInUse.
+	evacuations evacuations
+	handler     *direct.Handler
+	loads       *direct.LoadExchange
+	groups      groupManager
 	// watchers track the platform's objects while the entry is a reader.
 	watchers      []*objectWatcher
 	pinned        *keys.PinnedIdentity
@@ -188,9 +200,14 @@
 	}
 	e.handler = direct.NewHandler(direct.Options{
 		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
+		AwaitEvacuated: e.evacuationsInUse(),
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
-	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
+	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.onEndpoints, onChange: e.mesh.NotifyChange}
+	e.evacuations = evacuations{
+		kind: a.EvacuationKind, log: log, apply: e.handler.SetEvacuated, onChange: e.mesh.NotifyChange, members: e.mesh.HostZones,
+		endpoints: e.handler.ZoneEndpoints, wait: evacuation.Wait{Limit: maxEvacuationWait},
+	}
 	e.watchers = e.newWatchers()
 	e.groups = groupManager{edge: e, services: make(map[id.Service]*groupedService)}
 	e.clients = newClientServer(e.handler, log)
@@ -200,7 +217,7 @@
 
 const (
 	// aloneWatchFraction and fleetWatchFraction are the long-poll timeouts as fractions
-	// of MaxConfigDelay. A watch may miss a change; a fleet tolerates longer timeouts,
+	// of the time within which a change must be in force. A watch may miss a change; a fleet tolerates longer timeouts,
 	// as its entries renew their watches at different times.
 	aloneWatchFraction = 0.75
 	fleetWatchFraction = 1.5
@@ -208,14 +225,15 @@
 	watchJitter = 0.25
 )
 
-// watchWait returns the long-poll timeout of the next watch.
-func (e *Edge) watchWait() time.Duration {
+// watchWait returns the long-poll timeout of the next watch of objects whose changes must be in
+// force within a time.
+func (e *Edge) watchWait(limit time.Duration) time.Duration {
 	fraction := aloneWatchFraction
 	if len(e.mesh.Alive()) > 0 {
 		fraction = fleetWatchFraction
 	}
 	fraction *= 1 - watchJitter*rand.Float64()
-	return time.Duration(fraction * float64(e.cfg.MaxConfigDelay))
+	return time.Duration(fraction * float64(limit))
 }
 
 func (e *Edge) newMesh() error {
@@ -258,10 +276,13 @@
 	e.handler.SetTable(t)
 	e.clients.setLimits(t.Limits())
 	e.groups.apply(t)
+	if e.evacuationsInUse() {
+		e.evacuations.begin((*evacuation.Wait).Configured)
+	}
 }
 
 func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.handler.Table() == nil {
+	if e.notReady() != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -200,12 +200,18 @@
 // versions returns the versions of all replicated values.
 func (e *Edge) versions() map[mesh.Topic]uint64 {
 	out := e.values.versions()
+	if e.evacuationsInUse() {
+		out[topicEvacuations] = e.evacuations.version()
+	}
 	e.groups.addVersions(out)
 	return out
 }
 
 // encodeValue returns the part of a topic's value that an entry at version have lacks.
 func (e *Edge) encodeValue(t mesh.Topic, have uint64) mesh.Value {
+	if t == topicEvacuations {
+		return e.evacuations.encode()
+	}
 	roster := e.groups.rosterOf(t)
 	if roster == nil {
 		return e.values.encode(t, have)
@@ -220,6 +226,10 @@
 
 // applyValue applies a value received from another entry.
 func (e *Edge) applyValue(t mesh.Topic, v mesh.Value) {
+	if t == topicEvacuations {
+		e.evacuations.merge(v)
+		return
+	}
 	roster := e.groups.rosterOf(t)
 	if roster == nil {
 		e.values.apply(t, v)
--- a/entry/edge/watch.go
+++ b/entry/edge/watch.go
@@ -20,6 +20,9 @@
 	onList func([]objectapi.Object, uint64)
 	// onChange receives the events up to a revision.
 	onChange func([]objectapi.Object, uint64)
+	// limit is the time within which a change must be in force, and listInterval the time after
+	// which an entry that is no reader lists the kind.
+	limit, listInterval time.Duration
 	// healthy is true while the watch works.
 	healthy atomic.Bool
 	lost    bool
@@ -31,7 +34,8 @@
 	relistDelay = 100 * time.Millisecond
 	// readerCheckInterval is the time between checks of whether the entry is a reader.
 	readerCheckInterval = 100 * time.Millisecond
-	// nonReaderListInterval is the time after which an entry that is no reader lists a kind.
+	// nonReaderListInterval is the time after which an entry that is no reader lists the
+	// configuration or the endpoints.
 	nonReaderListInterval = 30 * time.Second
 	// watchBurst and watchRate (per second) limit the watch calls, so that a burst of changes
 	// arrives in batches. The pause between calls is a sixteenth of the default
@@ -44,7 +48,7 @@
 func (w *objectWatcher) run(ctx context.Context) {
 	var listed time.Time
 	for ctx.Err() == nil {
-		if !listed.IsZero() && time.Since(listed) < nonReaderListInterval && !w.edge.mesh.IsReader() {
+		if !listed.IsZero() && time.Since(listed) < w.listInterval && !w.edge.mesh.IsReader() {
 			pause(ctx, readerCheckInterval)
 			continue
 		}
@@ -82,7 +86,7 @@
 func (w *objectWatcher) watch(ctx context.Context, revision uint64) {
 	limiter := rate.NewLimiter(watchRate, watchBurst)
 	for limiter.Wait(ctx) == nil && w.edge.mesh.IsReader() {
-		changed, at, err := w.edge.store.WithPollWait(w.edge.watchWait()).Watch(ctx, w.kind, revision)
+		changed, at, err := w.edge.store.WithPollWait(w.edge.watchWait(w.limit)).Watch(ctx, w.kind, revision)
 		var gone *objectapi.HistoryGoneError
 		if errors.As(err, &gone) {
 			return
@@ -105,18 +109,32 @@
 	}
 }
 
-// newWatchers returns the watchers of the configuration and the endpoints.
+// newWatchers returns the watchers of the configuration, the endpoints and, if in use, the evacuations.
 func (e *Edge) newWatchers() []*objectWatcher {
-	return []*objectWatcher{
+	out := []*objectWatcher{
 		{
-			edge: e, kind: e.adapter.ConfigKind,
+			edge: e, kind: e.adapter.ConfigKind, limit: e.cfg.MaxConfigDelay, listInterval: nonReaderListInterval,
 			onList:   func(o []objectapi.Object, _ uint64) { e.values.applyConfigObjects(o) },
 			onChange: func(o []objectapi.Object, _ uint64) { e.values.applyConfigObjects(o) },
 		},
-		{edge: e, kind: e.adapter.EndpointKind, onList: e.values.replaceEndpoints, onChange: e.values.applyEndpointEvents},
+		{
+			edge: e, kind: e.adapter.EndpointKind, limit: e.cfg.MaxConfigDelay, listInterval: nonReaderListInterval,
+			onList: e.values.replaceEndpoints, onChange: e.values.applyEndpointEvents,
+		},
 	}
+	if e.evacuationsInUse() {
+		out = append(out, &objectWatcher{
+			edge: e, kind: e.adapter.EvacuationKind, limit: e.cfg.EvacuationDelay / evacuationWatchDivisor, listInterval: evacuationListInterval,
+			onList: e.evacuations.replace, onChange: e.evacuations.applyEvents,
+		})
+	}
+	return out
 }
 
+// evacuationWatchDivisor divides the bound of evacuations for the time of a watch. A watch on a dead
+// connection ends a second later, and a change must still reach the other entries.
+const evacuationWatchDivisor = 2
+
 // watchesHealthy reports whether the entry's own watches of the platform work.
 func (e *Edge) watchesHealthy() bool {
 	for _, w := range e.watchers {
--- a/entry/evacuation/wait.go
+++ b/entry/evacuation/wait.go
@@ -2,24 +2,33 @@
 
 import "time"
 
-// Wait bounds the time for which an entry that starts waits for the set. It is not safe for
-// concurrent use.
+// Wait bounds the time for which an entry that starts waits for the set. It begins with the first
+// configuration, and anew once there are endpoints too: requests could reach one only from then on.
+// It is not safe for concurrent use.
 type Wait struct {
 	Limit time.Duration
-	// began is zero before there is anything to serve.
-	began         time.Time
-	withEndpoints bool
+
+	began                 time.Time
+	configured, endpoints bool
+}
+
+// Configured records a configuration. It reports whether the entry can serve from now on.
+func (w *Wait) Configured(now time.Time) bool {
+	if w.configured {
+		return false
+	}
+	w.configured, w.began = true, now
+	return w.endpoints
 }
 
-// Begin begins the wait once there is a configuration, and anew when there are endpoints for the first
-// time: a request could reach one only from then on. It reports whether a wait began.
-func (w *Wait) Begin(now time.Time, endpoints bool) bool {
-	if !w.began.IsZero() && (w.withEndpoints || !endpoints) {
+// HasEndpoints records that there are endpoints. It reports whether the entry can serve from now on.
+func (w *Wait) HasEndpoints(now time.Time) bool {
+	if w.endpoints {
 		return false
 	}
-	w.began, w.withEndpoints = now, endpoints
-	return true
+	w.endpoints, w.began = true, now
+	return w.configured
 }
 
 // Over reports whether the wait has begun and ended.
-func (w *Wait) Over(now time.Time) bool { return !w.began.IsZero() && now.Sub(w.began) >= w.Limit }
+func (w *Wait) Over(now time.Time) bool { return w.configured && now.Sub(w.began) >= w.Limit }
