--- a/balance/scheduler/reach.go
+++ b/balance/scheduler/reach.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// unreachableEndpoints is the number of endpoints of a zone, as far as it has that many, to which connections fail until the
-	// zone counts as unreachable. A single one may have ended.
-	unreachableEndpoints = 3
+	// unreachableFailures is the number of connections that fail until a zone counts as unreachable, to as many of its
+	// endpoints as it has. One endpoint may have ended, and one connection may fail by chance.
+	unreachableFailures = 3
 	// unreachableWindow is the time within which these failures count together.
 	unreachableWindow = time.Second
 	// zoneTrialInterval is the time between trial requests to an unreachable zone, whose recovery is seen first
@@ -21,6 +21,8 @@
 type zoneReach struct {
 	// failed holds the endpoints to which connections failed, and when last.
 	failed map[id.Endpoint]time.Duration
+	// failures counts the failed connections, each within unreachableWindow after the one before.
+	failures int
 	// unreachable is true from the last of enough failures to the first sign of life.
 	unreachable bool
 	lastFailure time.Duration
@@ -39,6 +41,10 @@
 		z = &zoneReach{failed: make(map[id.Endpoint]time.Duration)}
 		s.zones[e.Zone] = z
 	}
+	if now-z.lastFailure > unreachableWindow {
+		z.failures = 0
+	}
+	z.failures++
 	z.lastFailure = now
 	z.failed[name] = now
 	if z.unreachable {
@@ -50,7 +56,7 @@
 			recent++
 		}
 	}
-	if recent < min(unreachableEndpoints, s.endpointsIn(e.Zone)) {
+	if z.failures < unreachableFailures || recent < min(unreachableFailures, s.endpointsIn(e.Zone)) {
 		return false
 	}
 	z.unreachable, z.lastTrial = true, now
--- a/balance/scheduler/reach_test.go
+++ b/balance/scheduler/reach_test.go
@@ -98,12 +98,25 @@
 	h.advance(2 * time.Second)
 	assert.Assert(t, !h.scheduler.RecordUnreachable("b2", h.now), "failures long apart count together")
 	assert.Equal(t, h.scheduler.UnreachableZones(), 0)
-	assert.Assert(t, h.scheduler.RecordUnreachable("b3", h.now) || h.scheduler.RecordUnreachable("b4", h.now))
+	assert.Assert(t, !h.scheduler.RecordUnreachable("b3", h.now))
+	assert.Assert(t, h.scheduler.RecordUnreachable("b4", h.now))
 	assert.Equal(t, h.scheduler.UnreachableZones(), 1)
 	d, _ := h.send(false)
 	assert.Equal(t, d.Endpoint[0], byte('c'))
 }
 
+// TestOneFailedConnectionIsNoOutage guards against an outage of a service with one endpoint in each zone because a connection to
+// each failed once.
+func TestOneFailedConnectionIsNoOutage(t *testing.T) {
+	h := newHarness(t, Config{}, Endpoint{Name: "a", Zone: "a", Slots: 4, Usable: true}, Endpoint{Name: "b", Zone: "b", Slots: 4, Usable: true})
+	for _, name := range []id.Endpoint{"a", "b"} {
+		assert.Assert(t, !h.scheduler.RecordUnreachable(name, h.now))
+		assert.Assert(t, !h.scheduler.RecordUnreachable(name, h.now))
+	}
+	assert.Assert(t, h.submit(h.chatRequest()).Endpoint != "")
+	assert.Assert(t, h.scheduler.RecordUnreachable("a", h.now))
+}
+
 // TestLateSignOfLifeDoesNotReopenZone guards against an answer from before a cut that is taken for the end of it.
 func TestLateSignOfLifeDoesNotReopenZone(t *testing.T) {
 	h := cutOffEntry(t)
