Limit of cold endpoints in balance/coldstart, and the scheduler asks it

Cause: an endpoint that has just started crashes above a rate that all entries share, and the scheduler sends to it like to any other. Ruled out: a method Admit that takes the token while endpoints are compared: a request would use up tokens of endpoints that it does not choose. SetFleet and SetCold without a time: hosts that were removed count for a minute, and a share begins empty. The scheduler passes over cold endpoints without a token, counts neither their free capacity nor their empty slots, and predicts waits by the tokens if all are cold.

--- a/balance/scheduler/backoff.go
+++ b/balance/scheduler/backoff.go
@@ -43,18 +43,22 @@
 	}
 }
 
-// earliestStart returns when an endpoint next accepts requests by its back-off: now if one
-// does, zero if the request may go to none.
+// earliestStart returns when an endpoint next accepts requests by its back-off and by the limit of
+// cold endpoints: now if one does, zero if the request may go to none.
 func (s *Scheduler) earliestStart(r *Request, now time.Duration) (earliest time.Duration) {
 	for _, e := range s.endpoints {
 		if !e.Usable || e.blocked || slices.Contains(r.Exclude, e.Name) {
 			continue
 		}
-		if !e.backoff.active || e.backoff.until <= now {
+		at, _ := s.coldNext(e, now)
+		if e.backoff.active {
+			at = max(at, e.backoff.until)
+		}
+		if at <= now {
 			return now
 		}
-		if earliest == 0 || e.backoff.until < earliest {
-			earliest = e.backoff.until
+		if earliest == 0 || at < earliest {
+			earliest = at
 		}
 	}
 	return earliest
--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -20,7 +20,7 @@
 // dispatchOne starts the most urgent request for which there is capacity. Requests
 // that can meet their target go before those that cannot.
 func (s *Scheduler) dispatchOne(now time.Duration) bool {
-	if float64(s.running()) >= s.cfg.MaxUtilization*float64(s.slots()) && s.waiting[0].sortKey != 0 {
+	if float64(s.running()) >= s.cfg.MaxUtilization*float64(s.slots(now)) && s.waiting[0].sortKey != 0 {
 		return false
 	}
 	for _, late := range []bool{false, true} {
@@ -57,7 +57,7 @@
 	var best *endpoint
 	var least float64
 	consider := func(e *endpoint) bool {
-		if !e.accepts(now) || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
+		if !e.accepts(now) || s.breakerBlocks(e, now) || s.coldBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
 			return false
 		}
 		if e.ownLoad.Running+e.peerLoad.Running >= e.Slots+s.cfg.Overcommit {
@@ -94,7 +94,7 @@
 func (s *Scheduler) cost(e *endpoint, now time.Duration) float64 {
 	running := float64(e.ownLoad.Running + e.peerLoad.Running)
 	prompt := float64(e.ownLoad.PromptTokens + e.peerLoad.PromptTokens)
-	requests := s.cfg.StepOverhead + running + 1 + prompt/s.cfg.PromptTokensPerRequest
+	requests := s.cfg.StepOverhead + running + 1 + prompt/s.cfg.PromptTokensPerRequest + s.coldCost(e, now)
 	if !e.Preferred && len(s.preferred) > 0 {
 		requests += s.cfg.Affinity
 	}
@@ -125,7 +125,10 @@
 		return Decision{Reason: Overload, RetryAfter: wait}, true
 	}
 	if wait := s.expectedWait(item, now); wait > limit && (wait > 0 || !s.trialDue(r, now)) {
-		return Decision{Reason: Overload, RetryAfter: wait - limit}, true
+		if !s.coldOnly(now) {
+			wait -= limit
+		}
+		return Decision{Reason: Overload, RetryAfter: wait}, true
 	}
 	return Decision{}, false
 }
@@ -172,6 +175,9 @@
 			ahead++
 		}
 	}
+	if wait, ok := s.coldWait(ahead+1, now); ok {
+		return wait
+	}
 	if ahead -= s.freeCapacity(now); ahead <= 0 {
 		return 0
 	}
--- a/balance/scheduler/estimate.go
+++ b/balance/scheduler/estimate.go
@@ -74,7 +74,7 @@
 	if s.down || now+s.firstEventLatency.initial.mean/2 > r.lastStart() || s.leastCost(r, now) == nil {
 		return false
 	}
-	if float64(s.running()) < uncertainUtilization*float64(s.slots()) {
+	if float64(s.running()) < uncertainUtilization*float64(s.slots(now)) {
 		return true
 	}
 	return now-s.lastTrial >= estimateTrialInterval
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	upSince             time.Duration
 	outageEstimate      time.Duration
 	breakers            map[id.Group]*breaker
+	// cold is nil if no endpoint is ever cold.
+	cold ColdLimit
 	// lastTrial is the last start of a request that by the estimates was too late to start.
 	lastTrial time.Duration
 
@@ -185,6 +187,7 @@
 	e.ownLoad.Running++
 	e.ownLoad.PromptTokens += r.PromptTokens
 	e.backoff.recordStart()
+	s.takeCold(e, now)
 	s.countStart(now)
 }
 
@@ -230,7 +233,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.accepts(now) {
-			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
+			sum += s.coldStarts(e, max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0), now)
 		}
 	}
 	return sum
@@ -328,11 +331,11 @@
 }
 
 // slots returns the number of slots of the usable endpoints.
-func (s *Scheduler) slots() int {
+func (s *Scheduler) slots(now time.Duration) int {
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.Usable && !e.blocked {
-			sum += e.Slots
+			sum += s.usableSlots(e, now)
 		}
 	}
 	return sum
