Entries know which endpoints are cold and keep to the limit

Cause: registrations and responses say how long an endpoint stays cold, and a service how many requests a second it tolerates until then; nothing used either. Ruled out: counting the time left of a registration from each list (each change of any endpoint begins it anew), and taking each endpoint that is missing from the list for a moment for a new one. Nothing changes for services without a rate.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -183,6 +183,7 @@
 	for skipped := 0; ; skipped++ {
 		info := h.opt.Codec.ParseResponse(x.Response.StatusCode, x.Response.Header)
 		q.service.recordLeaving(slot, info)
+		q.service.recordCold(slot, info)
 		named := info.Request != "" && info.Request == q.info.ID
 		if named {
 			slot.Backend.namesRequests.Store(true)
--- a/entry/direct/codec.go
+++ b/entry/direct/codec.go
@@ -70,6 +70,8 @@
 	// RetryAfter is the time for which the endpoint wants no requests from this entry, zero
 	// for none.
 	RetryAfter time.Duration
+	// ColdRemaining is the time for which the endpoint says that it is cold, zero if it says nothing.
+	ColdRemaining time.Duration
 	// AtFault is the endpoint that prevented the execution, if named.
 	AtFault id.Endpoint
 }
--- a/entry/direct/endpoints.go
+++ b/entry/direct/endpoints.go
@@ -27,8 +27,11 @@
 	// RegistrationRevision orders registrations. Of endpoints with the same address only the
 	// latest is in use.
 	RegistrationRevision uint64
-	// WarmupRemaining is how much longer the endpoint is slow after its start.
+	// WarmupRemaining is how much longer the endpoint is cold after its start, counted from ReadAt.
 	WarmupRemaining time.Duration
+	// ReadAt is when the registration was first read with its present content. Default: when the
+	// list with it was set.
+	ReadAt time.Time
 }
 
 // Backend is an endpoint and its connection pool.
@@ -40,6 +43,15 @@
 
 	mu       sync.Mutex // leaf lock
 	endpoint Endpoint
+	// appearedAt is when the registration appeared, zero if it was in the first list.
+	appearedAt time.Time
+}
+
+// registration returns the endpoint's current registration and when it appeared.
+func (b *Backend) registration() (Endpoint, time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.endpoint, b.appearedAt
 }
 
 // Endpoint returns the endpoint's current registration.
@@ -55,6 +67,7 @@
 	backends map[id.Endpoint]*Backend
 	services map[id.Service][]*Backend
 	source   netip.Addr
+	appeared appearances
 }
 
 // NewDirectory returns an empty directory. Connections are opened from source if valid.
@@ -66,8 +79,15 @@
 // connections.
 func (d *Directory) Set(list []Endpoint) {
 	list = latestPerAddress(list)
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.appeared.update(list, now)
+	for i := range list {
+		if list[i].ReadAt.IsZero() && list[i].WarmupRemaining > 0 {
+			list[i].ReadAt = now
+		}
+	}
 	next := make(map[id.Endpoint]*Backend, len(list))
 	for _, e := range list {
 		next[e.Name] = d.reuseOrNewBackend(e)
@@ -100,12 +120,13 @@
 }
 
 func (d *Directory) reuseOrNewBackend(e Endpoint) *Backend {
+	appearedAt := d.appeared.known[e.Name].at
 	b := d.backends[e.Name]
 	if b == nil || b.Endpoint().Address != e.Address || b.Endpoint().Service != e.Service {
-		return &Backend{Name: e.Name, endpoint: e, Pool: upstream.NewPool(upstream.Config{Address: e.Address, Dial: upstream.TCPDialer(d.source)})}
+		return &Backend{Name: e.Name, endpoint: e, appearedAt: appearedAt, Pool: upstream.NewPool(upstream.Config{Address: e.Address, Dial: upstream.TCPDialer(d.source)})}
 	}
 	b.mu.Lock()
-	b.endpoint = e
+	b.endpoint, b.appearedAt = e, appearedAt
 	b.mu.Unlock()
 	return b
 }
--- a/entry/direct/fixture_test.go
+++ b/entry/direct/fixture_test.go
@@ -44,8 +44,10 @@
 
 func (testCodec) ParseResponse(status int, h http.Header) ResponseInfo {
 	ms, _ := strconv.Atoi(h.Get("Pause"))
+	cold, _ := strconv.Atoi(h.Get("Cold"))
 	return ResponseInfo{
-		Leaving: h.Get("Leaving") != "", RetryAfter: time.Duration(ms) * time.Millisecond,
+		ColdRemaining: time.Duration(cold) * time.Millisecond,
+		Leaving:       h.Get("Leaving") != "", RetryAfter: time.Duration(ms) * time.Millisecond,
 		NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "",
 		Request: id.Request(h.Get("Request")), AtFault: id.Endpoint(h.Get("At-Fault")),
 	}
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -32,6 +32,9 @@
 	Entries func() int
 	// Retries is the budget of all entries together for each service.
 	Retries retry.WindowConfig
+	// ColdOverage and ColdSlack bound the requests of all entries together that a cold endpoint gets
+	// in any second: its service's ColdRate × ColdOverage + ColdSlack. Default: an overage of 1.
+	ColdOverage, ColdSlack float64
 	// Source is the local address for connections to endpoints. Default: chosen by the
 	// operating system.
 	Source netip.Addr
@@ -50,6 +53,9 @@
 
 	mu       sync.RWMutex // locked before Directory.mu and Service.mu
 	services map[id.Service]*Service
+	// entries and self are those of the last SetEntries.
+	entries []id.Host
+	self    id.Host
 }
 
 // NewHandler returns a handler without a configuration.
@@ -69,6 +75,7 @@
 		s := h.services[c.Name]
 		if s == nil {
 			s = newService(c, h.opt)
+			s.setEntries(h.entries, h.self)
 		} else {
 			s.configure(c)
 		}
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex // leaf lock; guards all below
 	config    routes.Service
 	scheduler *scheduler.Scheduler
+	cold      *coldEndpoints
 	durations durationStats
 	detector  *outlier.Detector
 	window    *retry.Window
@@ -66,6 +67,8 @@
 		quarantine: newPartQuarantine(c.Name, opt),
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
+	s.cold = newColdEndpoints(s, opt)
+	s.scheduler.SetColdLimit(s.cold.limiter)
 	return s
 }
 
@@ -91,6 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config = c
+	s.cold.configure(c)
 }
 
 // stallTimeout returns the time without a new pass after which a group counts as down.
@@ -134,6 +138,7 @@
 	for name, until := range s.backoffs {
 		s.scheduler.BackOff(name, until)
 	}
+	s.cold.setBackends(list)
 	s.detector.Retain(func(name id.Endpoint) bool { return backends[name] != nil })
 	s.dispatch()
 }
@@ -159,6 +164,7 @@
 	decided := make(chan scheduler.Decision, 1)
 	item := &scheduler.Item{Request: r, Decided: func(d scheduler.Decision) { decided <- d }, Queued: queued}
 	s.mu.Lock()
+	s.cold.countDeferred()
 	s.scheduler.Submit(item, s.now())
 	s.dispatch()
 	s.mu.Unlock()
--- a/entry/direct/shares.go
+++ b/entry/direct/shares.go
@@ -11,8 +11,12 @@
 const maxSharedEntries = 8
 
 // SetEntries sets the hosts of all entries, sorted, and the own one. In a large fleet each entry
-// prefers its share of the endpoints of a service.
+// prefers its share of the endpoints of a service. It must be called regularly, also without a
+// change: hosts that are missing keep their shares of cold endpoints for a while.
 func (h *Handler) SetEntries(hosts []id.Host, self id.Host) {
+	h.mu.Lock()
+	h.entries, h.self = hosts, self
+	h.mu.Unlock()
 	for _, s := range h.Services() {
 		s.setEntries(hosts, self)
 	}
@@ -25,6 +29,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.cold.setFleet(hosts, self)
 	if place == s.place && count == s.placeCount {
 		return
 	}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -77,6 +77,9 @@
 	StoreAddress string
 	// MaxConfigDelay is the time within which a new configuration must be in force. Default: 2 s.
 	MaxConfigDelay time.Duration
+	// ColdOverage and ColdSlack bound the requests to a cold endpoint in any second, of all entries
+	// together, by its service's rate: rate × ColdOverage + ColdSlack. Default: an overage of 1.
+	ColdOverage, ColdSlack float64
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
 }
@@ -103,6 +106,9 @@
 	if c.RetryBudget.Length <= 0 || c.RetryBudget.Ratio < 0 || c.RetryBudget.ExtraRetries < 0 {
 		l.Addf("retries", "%+v is not a budget", c.RetryBudget)
 	}
+	if c.ColdOverage < 0 || c.ColdSlack < 0 {
+		l.Addf("cold", "an overage of %v and a slack of %v are no bound", c.ColdOverage, c.ColdSlack)
+	}
 	return l
 }
 
@@ -188,6 +194,7 @@
 	}
 	e.handler = direct.NewHandler(direct.Options{
 		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
+		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack,
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -35,6 +36,14 @@
 	endpoints registrations
 	// rejected holds the last reason for which a registration was rejected, by name.
 	rejected map[string]string
+	// read holds when the registrations of cold endpoints were first read with their present content.
+	read map[string]readRegistration
+}
+
+// readRegistration is a registration and when it was first read.
+type readRegistration struct {
+	registration
+	at time.Time
 }
 
 func (v *values) versions() map[mesh.Topic]uint64 {
@@ -178,7 +187,8 @@
 func (v *values) publishEndpoints(source string) {
 	v.onChange()
 	var out []direct.Endpoint
-	draining := 0
+	draining, now := 0, time.Now()
+	read := make(map[string]readRegistration)
 	for name, r := range v.endpoints.byName {
 		e, err := v.adapter.DecodeEndpoint(name, r.Value)
 		if err != nil {
@@ -189,8 +199,16 @@
 			draining++
 		}
 		e.RegistrationRevision = r.Created
+		if e.WarmupRemaining > 0 {
+			read[name] = readRegistration{registration: r, at: now}
+			if last, ok := v.read[name]; ok && last.equal(r) {
+				read[name] = last
+			}
+			e.ReadAt = read[name].at
+		}
 		out = append(out, e)
 	}
+	v.read = read
 	slices.SortFunc(out, func(a, b direct.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	v.log.Info().Str("event", "endpoints.applied").Str("source", source).Uint64("revision", v.endpoints.version).
 		Int("endpoints", len(out)).Int("draining", draining).Send()
--- a/entry/edge/values_test.go
+++ b/entry/edge/values_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -41,6 +43,7 @@
 				var e struct {
 					Address  string
 					Draining bool
+					ColdMs   int
 				}
 				if err := json.Unmarshal(data, &e); err != nil {
 					return direct.Endpoint{}, err
@@ -48,7 +51,7 @@
 				if e.Address == "" {
 					return direct.Endpoint{}, errors.New("no address")
 				}
-				return direct.Endpoint{Name: id.Endpoint(name), Address: e.Address, Draining: e.Draining}, nil
+				return direct.Endpoint{Name: id.Endpoint(name), Address: e.Address, Draining: e.Draining, WarmupRemaining: time.Duration(e.ColdMs) * time.Millisecond}, nil
 			},
 		},
 		onChange: func() {},
@@ -211,3 +214,27 @@
 	a.applyEndpointEvents([]objectapi.Object{removed}, 4)
 	assert.Equal(t, len(a.endpoints), 1)
 }
+
+// TestColdTimeCountsFromReading guards against an endpoint that stays cold because each change of the
+// list counts its cold time anew.
+func TestColdTimeCountsFromReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newApplied(), newApplied()
+		cold := object("a", `{"address":"1","coldMs":3000}`, 3)
+		a.replaceEndpoints([]objectapi.Object{cold}, 5)
+		read := time.Now()
+		time.Sleep(time.Second)
+		a.applyEndpointEvents([]objectapi.Object{object("b", `{"address":"2"}`, 7)}, 7)
+		assert.Equal(t, a.endpoints["a"].ReadAt, read)
+		a.replaceEndpoints([]objectapi.Object{cold}, 8)
+		assert.Equal(t, a.endpoints["a"].ReadAt, read)
+		assert.Assert(t, a.endpoints["b"].ReadAt.IsZero(), "it is not cold")
+
+		b.apply(topicEndpoints, a.encode(topicEndpoints, 0))
+		assert.Equal(t, b.endpoints["a"].ReadAt, time.Now(), "another entry counts from its own reading")
+
+		time.Sleep(time.Second)
+		a.applyEndpointEvents([]objectapi.Object{object("a", `{"address":"1","coldMs":3000,"sequence":2}`, 9)}, 9)
+		assert.Equal(t, a.endpoints["a"].ReadAt, time.Now(), "it is written anew")
+	})
+}
--- a/entry/routes/config.go
+++ b/entry/routes/config.go
@@ -76,6 +76,11 @@
 	HealthPath string
 	// MaxConns is the number of connections that an endpoint accepts from all callers.
 	MaxConns int
+	// ColdStart is the time for which an endpoint is cold after it starts during traffic.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold endpoint tolerates from all entries
+	// together. Zero means no limit: endpoints are never cold.
+	ColdRate float64
 	// Engine is set if the endpoints are model engines.
 	Engine *Engine
 }
--- a/entry/routes/table.go
+++ b/entry/routes/table.go
@@ -49,6 +49,9 @@
 		if e := s.Engine; e != nil && e.Slots <= 0 {
 			found.Addf(place+".engine.slots", "%d is not positive", e.Slots)
 		}
+		if s.ColdRate < 0 || s.ColdStart < 0 {
+			found.Addf(place+".cold", "%v a second for %v is negative", s.ColdRate, s.ColdStart)
+		}
 		t.services[s.Name] = s
 	}
 }
