--- /dev/null
+++ b/balance/coldstart/bench_test.go
@@ -0,0 +1,47 @@
+package coldstart
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// The size of the largest fleet that is planned for.
+const (
+	benchHosts     = 360
+	benchEndpoints = 1200
+)
+
+func benchLimiter(b *testing.B) (*Limiter, []id.Endpoint, time.Duration) {
+	b.Helper()
+	hosts := hostNames(benchHosts)
+	l, now := settledLimiter(today, hosts, hosts[0])
+	names := make([]id.Endpoint, benchEndpoints)
+	for i := range names {
+		names[i] = id.Endpoint(fmt.Sprintf("i-%08x", i))
+		l.SetCold(names[i], now+time.Hour, now)
+	}
+	return l, names, now
+}
+
+// BenchmarkNext measures the question that a request asks for each endpoint while some are cold.
+func BenchmarkNext(b *testing.B) {
+	l, names, now := benchLimiter(b)
+	for i := range b.N {
+		l.Next(names[i%len(names)], now)
+	}
+}
+
+// BenchmarkFleetChange measures the first question for each endpoint, all of them cold, after a host
+// joined.
+func BenchmarkFleetChange(b *testing.B) {
+	l, names, now := benchLimiter(b)
+	for range b.N {
+		l.version++
+		for _, name := range names {
+			l.Next(name, now)
+		}
+	}
+}
--- a/balance/coldstart/coldstart.go
+++ b/balance/coldstart/coldstart.go
@@ -57,6 +57,8 @@
 	// listed holds when the hosts of the fleet were last listed, fleet the sorted hosts that count.
 	listed map[id.Host]time.Duration
 	fleet  []id.Host
+	// hashes are those of the hosts in fleet.
+	hashes []uint64
 	// version increases with each change of the fleet or the configuration.
 	version   uint64
 	endpoints map[id.Endpoint]*endpoint
@@ -126,6 +128,10 @@
 		l.fleet = append(l.fleet, h)
 	}
 	slices.Sort(l.fleet)
+	l.hashes = l.hashes[:0]
+	for _, h := range l.fleet {
+		l.hashes = append(l.hashes, hash(string(h)))
+	}
 }
 
 // SetCold marks an endpoint as cold until a time, unless it is so for longer already. It reports
@@ -169,9 +175,10 @@
 
 // rank returns the number of hosts before the own one in the order of an endpoint.
 func (l *Limiter) rank(name id.Endpoint) int {
-	own, before := score(name, l.self), 0
-	for _, h := range l.fleet {
-		if s := score(name, h); s > own || s == own && h < l.self {
+	endpoint := hash(string(name))
+	own, before := score(endpoint, hash(string(l.self))), 0
+	for i, h := range l.fleet {
+		if s := score(endpoint, l.hashes[i]); s > own || s == own && h < l.self {
 			before++
 		}
 	}
@@ -296,18 +303,20 @@
 	}
 }
 
-// score returns the score of a host for an endpoint. The hosts with the greatest have a share.
-func score(name id.Endpoint, host id.Host) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211 // FNV-1a
+// hash returns the FNV-1a hash of a name.
+func hash(name string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
 	h := uint64(offset)
 	for i := range len(name) {
 		h = (h ^ uint64(name[i])) * prime
 	}
-	h *= prime // A zero byte separates the names.
-	for i := range len(host) {
-		h = (h ^ uint64(host[i])) * prime
-	}
-	// The last bytes hardly change the high bits of FNV; the finalizer of SplitMix64 mixes them.
+	return h
+}
+
+// score returns the score of a host for an endpoint, by their hashes. The hosts with the greatest have
+// a share. It is the finalizer of SplitMix64.
+func score(endpoint, host uint64) uint64 {
+	h := endpoint ^ host
 	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
 	h = (h ^ h>>27) * 0x94d049bb133111eb
 	return h ^ h>>31
