--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -276,7 +276,7 @@
 // dispatchByRank starts waiting requests in the order of byRank while there is capacity.
 func (s *Scheduler) dispatchByRank(now time.Duration) {
 	s.contention.prune(now)
-	free := s.freeSlots()
+	free := s.freeSlots(now)
 	for _, k := range s.byRank(now) {
 		r := &k.item.Request
 		if !k.resumed && !s.mayUse(free, k, now) {
@@ -316,8 +316,8 @@
 
 // freeSlots returns the number of requests that may start before MaxUtilization is reached. Without any
 // slot, one may start as a trial.
-func (s *Scheduler) freeSlots() int {
-	slots := s.slots()
+func (s *Scheduler) freeSlots(now time.Duration) int {
+	slots := s.slots(now)
 	if slots == 0 {
 		return 1
 	}
@@ -342,7 +342,7 @@
 	if s.contention.arrivalsBefore(r, now) < 1 {
 		return 0
 	}
-	return int(reservedFraction * s.cfg.MaxUtilization * float64(s.slots()))
+	return int(reservedFraction * s.cfg.MaxUtilization * float64(s.slots(now)))
 }
 
 // WaitingByRank returns the number of waiting requests of each rank, the most urgent first.
@@ -359,7 +359,7 @@
 }
 
 // SetPeerWaiting sets the number of requests that wait at other entries. It is called after SetPeerLoad.
-func (s *Scheduler) SetPeerWaiting(waiting []RankCount) {
+func (s *Scheduler) SetPeerWaiting(waiting []RankCount, now time.Duration) {
 	s.contention.peers = waiting
 	elsewhere := 0
 	for _, w := range waiting {
@@ -368,7 +368,7 @@
 	own := len(s.waiting)
 	s.contention.budget = 0
 	if own > 0 {
-		s.contention.budget = s.rng.Float64() + float64(max(s.freeSlots(), 0))*float64(own)/float64(own+elsewhere)
+		s.contention.budget = s.rng.Float64() + float64(max(s.freeSlots(now), 0))*float64(own)/float64(own+elsewhere)
 	}
 }
 
--- a/balance/scheduler/rank_test.go
+++ b/balance/scheduler/rank_test.go
@@ -151,7 +151,7 @@
 			waiting = append(waiting, s.WaitingByRank()...)
 		}
 	}
-	x.schedulers[i].SetPeerWaiting(waiting)
+	x.schedulers[i].SetPeerWaiting(waiting, x.now)
 	x.schedulers[i].Dispatch(x.now)
 }
 
@@ -317,12 +317,12 @@
 	h := newHarness(t, Config{}, usableEndpoint("a", 2))
 	h.scheduler.SetRanked(true)
 	h.scheduler.SetPeerLoad("a", Load{Running: 1})
-	h.scheduler.SetPeerWaiting([]RankCount{{Rank: Rank{Route: 0}, Count: 1}})
+	h.scheduler.SetPeerWaiting([]RankCount{{Rank: Rank{Route: 0}, Count: 1}}, h.now)
 	less := h.chatRequest()
 	less.Rank = Rank{Route: 1}
 	d := h.submit(less)
 	assert.Equal(t, d.Endpoint, id.Endpoint(""))
-	h.scheduler.SetPeerWaiting(nil)
+	h.scheduler.SetPeerWaiting(nil, h.now)
 	h.advance(ms)
 	assert.Equal(t, d.Endpoint, id.Endpoint("a"))
 }
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -36,7 +36,9 @@
 	// elsewhereAfter is the time after which a new connection of a client reaches another entry, negative
 	// if this entry serves.
 	elsewhereAfter time.Duration
-	breakers       map[id.Group]*breaker
+	// cold is nil if no endpoint is ever cold.
+	cold     ColdLimit
+	breakers map[id.Group]*breaker
 	// lastTrial is the last start of a request that by the estimates was too late to start.
 	lastTrial time.Duration
 
@@ -205,6 +207,7 @@
 	e.ownLoad.PromptTokens += r.PromptTokens
 	e.backoff.recordStart()
 	s.recordZoneTrial(e, now)
+	s.takeCold(e, now)
 	s.countStart(now)
 	s.contention.recordStart(r, now)
 }
@@ -251,7 +254,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.accepts(now) && !s.inUnreachableZone(e) {
-			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
+			sum += s.coldStarts(e, max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0), now)
 		}
 	}
 	return sum
@@ -370,11 +373,11 @@
 }
 
 // slots returns the number of slots of the usable endpoints.
-func (s *Scheduler) slots() int {
+func (s *Scheduler) slots(now time.Duration) int {
 	sum := 0
 	for _, e := range s.endpoints {
 		if s.serves(e) {
-			sum += e.Slots
+			sum += s.usableSlots(e, now)
 		}
 	}
 	return sum
--- a/entry/direct/evacuation.go
+++ b/entry/direct/evacuation.go
@@ -76,6 +76,7 @@
 // zoneRestored takes the endpoints of a zone into use that was known to be out of service and no
 // longer is. No request is started before it returns. The caller holds mu.
 func (s *Service) zoneRestored(zone id.Zone) {
+	s.markZoneColdLocked(zone)
 	for name, b := range s.backends {
 		if e := b.Endpoint(); e.Zone == zone {
 			s.scheduler.SetUsable(name, s.isUsable(e))
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex // leaf lock; guards all below
 	config    routes.Service
 	scheduler *scheduler.Scheduler
+	cold      *coldEndpoints
 	durations durationStats
 	detector  *outlier.Detector
 	window    *retry.Window
@@ -69,6 +70,8 @@
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
 	s.scheduler.SetRanked(s.config.Ranked())
+	s.cold = newColdEndpoints(s, opt)
+	s.scheduler.SetColdLimit(s.cold.limiter)
 	return s
 }
 
@@ -95,6 +98,7 @@
 	defer s.mu.Unlock()
 	s.config = c
 	s.scheduler.SetRanked(s.config.Ranked())
+	s.cold.configure(c)
 }
 
 // routePriorities returns the different priorities of the service's routes.
@@ -145,6 +149,7 @@
 	for name, until := range s.backoffs {
 		s.scheduler.BackOff(name, until)
 	}
+	s.cold.setBackends(list)
 	s.detector.Retain(func(name id.Endpoint) bool { return backends[name] != nil })
 	s.dispatch()
 }
@@ -170,6 +175,7 @@
 	decided := make(chan scheduler.Decision, 1)
 	item := &scheduler.Item{Request: r, Decided: func(d scheduler.Decision) { decided <- d }, Queued: queued}
 	s.mu.Lock()
+	s.cold.countDeferred()
 	s.scheduler.Submit(item, s.now())
 	s.dispatch()
 	s.mu.Unlock()
@@ -458,7 +464,7 @@
 	for rank, n := range waiting {
 		counts = append(counts, scheduler.RankCount{Rank: rank, Count: n})
 	}
-	s.scheduler.SetPeerWaiting(counts)
+	s.scheduler.SetPeerWaiting(counts, s.now())
 	s.dispatch()
 }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -86,6 +86,9 @@
 	// EvacuationDelay is the time within which an evacuated zone must get no more requests. Zero if
 	// evacuations are not in use.
 	EvacuationDelay time.Duration
+	// ColdOverage and ColdSlack bound the requests to a cold endpoint in any second, of all entries
+	// together, by its service's rate: rate × ColdOverage + ColdSlack. Default: an overage of 1.
+	ColdOverage, ColdSlack float64
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
 }
@@ -115,6 +118,9 @@
 	if c.RetryBudget.Length <= 0 || c.RetryBudget.Ratio < 0 || c.RetryBudget.ExtraRetries < 0 {
 		l.Addf("retries", "%+v is not a budget", c.RetryBudget)
 	}
+	if c.ColdOverage < 0 || c.ColdSlack < 0 {
+		l.Addf("cold", "an overage of %v and a slack of %v are no bound", c.ColdOverage, c.ColdSlack)
+	}
 	return l
 }
 
@@ -206,7 +212,7 @@
 	}
 	e.handler = direct.NewHandler(direct.Options{
 		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
-		AwaitEvacuated: e.evacuationsInUse(),
+		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, AwaitEvacuated: e.evacuationsInUse(),
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.onEndpoints, onChange: e.mesh.NotifyChange}
