Entries with one version of the evacuated zones have one set

Cause: an entry whose list equals what it knew before it missed an evacuation and its restoration kept its former version. When a member announced the evacuation, it took over the member's version without its set, as it knows of later. Both then had one version and two sets until the next change, and an entry without a watch kept the zone out. Ruled out: a greater version at each list, which makes all entries fetch from each one that starts. Change: such an entry raises its version to the revision of its list, so that the others fetch it.

--- a/entry/evacuation/set.go
+++ b/entry/evacuation/set.go
@@ -35,8 +35,8 @@
 // Set is the set of zones out of service. Revisions of the store order all that it learns; it uses
 // them for nothing else. The zero value is a set that is not known yet. It is not safe for concurrent use.
 type Set struct {
-	// version is the revision of the last change, and synced the revision up to which
-	// changes are known.
+	// version is the revision of the last change as far as other entries need to know it, and
+	// synced the revision up to which changes are known.
 	version, synced uint64
 	// zones is nil until the set is known.
 	zones map[id.Zone]Zone
@@ -129,24 +129,31 @@
 
 // Merge applies the set of another entry and reports whether anything changed.
 func (s *Set) Merge(data []byte, version uint64) (changed bool, err error) {
-	if version > s.synced {
-		var list []Zone
-		if err := json.Unmarshal(data, &list); err != nil {
-			return false, err
-		}
-		if list == nil {
-			return false, errors.New("set of evacuated zones is null")
-		}
-		next := make(map[id.Zone]Zone, len(list))
-		for _, z := range list {
-			if known, ok := s.zones[z.Name]; ok && known.Revision == z.Revision {
-				z = known
-			}
-			next[z.Name] = z
+	var list []Zone
+	if err := json.Unmarshal(data, &list); err != nil {
+		return false, err
+	}
+	if list == nil {
+		return false, errors.New("set of evacuated zones is null")
+	}
+	next := make(map[id.Zone]Zone, len(list))
+	for _, z := range list {
+		if known, ok := s.zones[z.Name]; ok && known.Revision == z.Revision {
+			z = known
 		}
+		next[z.Name] = z
+	}
+	switch {
+	case version > s.synced:
 		changed = s.set(next, version, version)
+		s.version = version // Also of the same set, so that the entries agree.
+	case version <= s.version:
+	case sameZones(s.zones, next):
+		s.version = version
+	default:
+		// The set at synced is as it was before changes that this entry did not see. The others
+		// have seen some, and must learn that they were taken back.
+		s.version = s.synced
 	}
-	// The set is at least as new as the other entry's. An equal version ends the fetches.
-	s.version = max(s.version, version)
 	return changed, nil
 }
--- a/entry/evacuation/set_test.go
+++ b/entry/evacuation/set_test.go
@@ -154,6 +154,25 @@
 	assert.Equal(t, len(a.Zones()), 0)
 }
 
+// TestUnseenChangesAreTakenBack covers a list that equals what the entry knew before it missed an
+// evacuation and its restoration: the others have a greater version and still keep the zone out.
+func TestUnseenChangesAreTakenBack(t *testing.T) {
+	var a, b Set
+	a.Replace(nil, 5, start)
+	b.Replace([]Change{out("a", 8)}, 8, start)
+	assert.Assert(t, !a.Replace(nil, 9, start))
+	for range 2 {
+		for _, pass := range [][2]*Set{{&b, &a}, {&a, &b}} {
+			data, err := pass[0].Encode()
+			assert.NilError(t, err)
+			_, err = pass[1].Merge(data, pass[0].Version())
+			assert.NilError(t, err)
+		}
+	}
+	assert.Equal(t, len(b.Zones()), 0)
+	assert.Equal(t, a.Version(), b.Version())
+}
+
 // TestOddValueOfMemberChangesNothing guards against a value that cannot be decoded and empties the set.
 func TestOddValueOfMemberChangesNothing(t *testing.T) {
 	var s Set
