--- a/fleet/objectapi/client.go
+++ b/fleet/objectapi/client.go
@@ -49,6 +49,9 @@
 	KeepAlive time.Duration
 	// Source is the local address of connections. Default: the operating system's choice.
 	Source netip.Addr
+	// OnRestore is called when an answer shows that the store has returned from an older
+	// copy. It must not block. Nil means that nobody is told.
+	OnRestore func(before, after uint64)
 	// Seed seeds the jitter. Default: a random seed.
 	Seed uint64
 }
@@ -141,6 +144,7 @@
 	writeLimiter *rate.Limiter
 	readLimiter  *rate.Limiter
 	breaker      *circuitBreaker
+	era          *eraTracker
 	now          func() time.Time
 }
 
@@ -160,6 +164,7 @@
 		writeLimiter: newLimiter(cfg.WritesPerSecond),
 		readLimiter:  newLimiter(cfg.ReadsPerSecond),
 		breaker:      newCircuitBreaker(cfg.Backoff, random),
+		era:          newEraTracker(cfg.OnRestore),
 		now:          time.Now,
 	}, nil
 }
@@ -186,7 +191,7 @@
 }
 
 // WithPollWait returns a client whose watches request a long poll of the given duration,
-// at most MaxPollWait. It shares the connections, rate limits and circuit breaker of c.
+// at most MaxPollWait. It shares the connections, rate limits, circuit breaker and era of c.
 func (c *Client) WithPollWait(wait time.Duration) *Client {
 	client := *c
 	client.cfg.PollWait = min(wait, MaxPollWait)
@@ -199,6 +204,9 @@
 	c.writeClient.CloseIdleConnections()
 }
 
+// Era implements EraSource. It is zero until an answer with an era has arrived.
+func (c *Client) Era() uint64 { return c.era.current() }
+
 // Available reports whether the circuit breaker admits calls now. It is false while
 // the platform is down and the backoff has not passed.
 func (c *Client) Available() bool { return !c.breaker.open(c.now()) }
--- a/fleet/objectapi/generic.go
+++ b/fleet/objectapi/generic.go
@@ -48,6 +48,9 @@
 	return PathObjects + "/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
+// EraHeader implements Protocol. The API has no eras.
+func (Generic) EraHeader() string { return "" }
+
 // Get implements Protocol.
 func (Generic) Get(kind, name string) Call {
 	return Call{Method: http.MethodGet, Path: objectPath(kind, name)}
--- a/fleet/objectapi/protocol.go
+++ b/fleet/objectapi/protocol.go
@@ -34,6 +34,10 @@
 // Decoders receive the body of a response with status 200, or 409 for the stored
 // object of a conflict.
 type Protocol interface {
+	// EraHeader returns the name of the response header with the era of the store, an
+	// integer that rises each time the store returns from an older copy. Empty means that
+	// the API has none.
+	EraHeader() string
 	// Get encodes a read of one object.
 	Get(kind, name string) Call
 	// List encodes a list of the objects of a kind whose names are greater than after.
--- a/fleet/objectapi/read.go
+++ b/fleet/objectapi/read.go
@@ -23,7 +23,7 @@
 func (c *Client) decodeObject(resp response, kind, name string) (Object, error) {
 	switch resp.status {
 	case http.StatusOK:
-		o, err := c.cfg.Protocol.DecodeObject(kind, resp.body)
+		o, err := decodeObject(c.cfg.Protocol, kind, resp)
 		if err != nil {
 			return Object{}, &UnavailableError{Cause: wrapDecodeError(err)}
 		}
@@ -37,12 +37,23 @@
 
 func wrapDecodeError(err error) error { return errors.Wrap(err, "platform response cannot be decoded") }
 
+// decodeObject decodes an object and adds the era of the answer to its versions.
+func decodeObject(p Protocol, kind string, resp response) (Object, error) {
+	o, err := p.DecodeObject(kind, resp.body)
+	if err == nil {
+		err = composeObject(&o, resp.era)
+	}
+	return o, err
+}
+
 // List returns all objects of a kind and the revision of the first page, so that a
-// watch from that revision also returns changes made between pages.
+// watch from that revision also returns changes made between pages. It fails if the store
+// returns from an older copy between pages.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
 	var (
 		all      []Object
 		revision uint64
+		era      uint64
 		after    string
 	)
 	for first := true; first || after != ""; first = false {
@@ -52,7 +63,10 @@
 			return nil, 0, err
 		}
 		if first {
-			revision = page.Revision
+			revision, era = page.Revision, resp.era
+		}
+		if resp.era != era {
+			return nil, 0, &UnavailableError{Cause: errors.Newf("the store returned from an older copy during the list of %q", kind)}
 		}
 		if page.Next != "" && page.Next <= after {
 			return nil, 0, &UnavailableError{Cause: errors.Newf("list of %q does not advance past %q", kind, after)}
@@ -68,12 +82,22 @@
 	if err := c.admit(ctx, c.readLimiter, true); err != nil {
 		return nil, 0, err
 	}
+	if c.era.isFormer(after) {
+		c.breaker.record(c.now(), resultCanceled)
+		return nil, 0, &HistoryGoneError{}
+	}
+	ctx, cancel := c.era.untilRise(ctx, after)
+	defer cancel()
 	wait := c.cfg.PollWait
 	if c.breaker.failing() {
 		// Other calls are rejected until this probe ends, so it must be short.
 		wait = probePollWait
 	}
-	resp, err := c.roundTrip(ctx, c.readClient, c.cfg.Protocol.Watch(kind, after, wait), wait+c.cfg.PollGrace)
+	resp, err := c.roundTrip(ctx, c.readClient, c.cfg.Protocol.Watch(kind, c.outgoing(after), wait), wait+c.cfg.PollGrace)
+	if c.era.isFormer(after) {
+		// The changes after the revision are those of another history.
+		return nil, 0, &HistoryGoneError{}
+	}
 	page, err := c.decodePage(ctx, kind, resp, err)
 	if err != nil {
 		return nil, 0, err
@@ -103,6 +127,9 @@
 		return Page{}, err
 	}
 	page, err := c.cfg.Protocol.DecodePage(kind, resp.body)
+	if err == nil {
+		err = composePage(&page, resp.era)
+	}
 	if err != nil {
 		return Page{}, &UnavailableError{Cause: wrapDecodeError(err)}
 	}
--- a/fleet/objectapi/store.go
+++ b/fleet/objectapi/store.go
@@ -14,7 +14,8 @@
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 	// Version increases with each write of the object and is not reset when it is
-	// deleted and created again. Zero means that it does not exist.
+	// deleted and created again. Zero means that it does not exist. Versions and revisions
+	// hold the era of the store in their high bits (see ComposeVersion).
 	Version uint64 `json:"version"`
 	// Revision is the position of the last write in the order of all writes of the store.
 	Revision uint64 `json:"revision"`
@@ -73,7 +74,7 @@
 	// the revision that the response reflects. It blocks until there is a change
 	// or the long poll ends, in which case the slice is empty. The error is a
 	// *HistoryGoneError if the platform has discarded the changes since the
-	// revision; the caller then lists the kind again.
+	// revision or has returned from an older copy; the caller then lists the kind again.
 	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
 	// Hosts returns the host list, which lags behind the actual state.
 	Hosts(ctx context.Context) ([]Host, error)
--- a/fleet/objectapi/transport.go
+++ b/fleet/objectapi/transport.go
@@ -22,7 +22,10 @@
 // response is the status and body of a completely received HTTP response.
 type response struct {
 	status int
+	header http.Header
 	body   []byte
+	// era is the store's era at the time of the answer.
+	era uint64
 }
 
 // possiblySentError reports a request that may have reached the platform.
@@ -46,6 +49,9 @@
 		// Idle connections to the same address may be dead as well.
 		hc.CloseIdleConnections()
 	}
+	if err == nil {
+		resp.era, err = c.readEra(resp)
+	}
 	return resp, err
 }
 
@@ -98,7 +104,7 @@
 	if len(b) > maxResponseBytes {
 		return response{}, &possiblySentError{cause: errors.Newf("platform response exceeds %d bytes", maxResponseBytes)}
 	}
-	return response{status: httpResp.StatusCode, body: b}, nil
+	return response{status: httpResp.StatusCode, header: httpResp.Header, body: b}, nil
 }
 
 // wrapSendError wraps err in a *possiblySentError unless the connection failed to open.
--- a/fleet/objectapi/write.go
+++ b/fleet/objectapi/write.go
@@ -14,6 +14,9 @@
 	call     Call
 	object   Object
 	deletion bool
+	// era is that in which the write is sent. An answer of a later one does not tell
+	// whether the write was applied before the store returned from an older copy.
+	era uint64
 }
 
 // Put writes o if the stored version equals o.Version. An empty o.WriteID is
@@ -25,7 +28,9 @@
 	if o.WriteID == "" {
 		o.WriteID = newWriteID()
 	}
-	call, err := c.cfg.Protocol.Put(o)
+	sent := o
+	sent.Version = c.outgoing(o.Version)
+	call, err := c.cfg.Protocol.Put(sent)
 	if err != nil {
 		return Object{}, errors.Wrapf(err, "object %q of kind %q cannot be encoded", o.Name, o.Kind)
 	}
@@ -35,16 +40,30 @@
 // Delete removes an object if its stored version equals version.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	o := Object{Kind: kind, Name: name, Version: version, WriteID: newWriteID()}
-	_, err := c.write(ctx, write{protocol: c.cfg.Protocol, call: c.cfg.Protocol.Delete(o), object: o, deletion: true})
+	sent := o
+	sent.Version = c.outgoing(version)
+	_, err := c.write(ctx, write{protocol: c.cfg.Protocol, call: c.cfg.Protocol.Delete(sent), object: o, deletion: true})
 	return err
 }
 
-// write sends w and, if the response leaves the outcome in doubt, resolves it.
+// write sends w and, if the response leaves the outcome in doubt, resolves it. A condition
+// on a version of a former era cannot hold any more and is not sent.
 func (c *Client) write(ctx context.Context, w write) (Object, error) {
 	if err := c.admit(ctx, c.writeLimiter, false); err != nil {
 		return Object{}, err
 	}
+	era, known := c.era.forWrite(w.object.Version)
+	if w.era = era; w.object.Version != 0 && EraOf(w.object.Version) < era {
+		c.breaker.record(c.now(), resultCanceled)
+		return Object{}, w.conflictError(Object{Kind: w.object.Kind, Name: w.object.Name})
+	}
 	resp, err := c.roundTrip(ctx, c.writeClient, w.call, c.cfg.CallTimeout)
+	if !known {
+		w.era = c.era.current() // The first answer of the store.
+	}
+	if err := c.checkWriteEra(w); err != nil {
+		return Object{}, err
+	}
 	o, err := w.interpret(resp, err, false)
 	if !isInDoubt(err) {
 		return o, err
@@ -52,6 +71,18 @@
 	return c.resolve(ctx, w, err)
 }
 
+// checkWriteEra returns an error if the store has returned from an older copy since w was
+// first sent.
+func (c *Client) checkWriteEra(w write) error {
+	now := c.era.current()
+	if now <= w.era {
+		return nil
+	}
+	return &OutcomeUnknownError{
+		Kind: w.object.Kind, Name: w.object.Name, Cause: errors.Newf("the store returned from an older copy (era %d after %d)", now, w.era),
+	}
+}
+
 // inDoubtError reports an attempt that may have taken effect or may still do so.
 type inDoubtError struct{ cause error }
 
@@ -102,7 +133,7 @@
 	if w.deletion {
 		return Object{}, nil
 	}
-	o, err := w.protocol.DecodeObject(w.object.Kind, resp.body)
+	o, err := decodeObject(w.protocol, w.object.Kind, resp)
 	if err != nil {
 		return Object{}, &inDoubtError{cause: wrapDecodeError(err)}
 	}
@@ -111,7 +142,7 @@
 }
 
 func (w write) conflict(resp response, earlierInDoubt bool) (Object, error) {
-	current, err := w.protocol.DecodeObject(w.object.Kind, resp.body)
+	current, err := decodeObject(w.protocol, w.object.Kind, resp)
 	if err != nil {
 		return Object{}, &inDoubtError{cause: wrapDecodeError(err)}
 	}
@@ -176,6 +207,9 @@
 
 func (c *Client) tryResolve(ctx context.Context, w write) (Object, error) {
 	current, err := c.readBack(ctx, w)
+	if eraErr := c.checkWriteEra(w); eraErr != nil {
+		return Object{}, eraErr
+	}
 	if err != nil {
 		return Object{}, &inDoubtError{cause: err}
 	}
@@ -186,7 +220,13 @@
 	if err := c.awaitBudget(ctx, c.writeLimiter); err != nil {
 		return Object{}, &inDoubtError{cause: err}
 	}
+	if err := c.checkWriteEra(w); err != nil {
+		return Object{}, err
+	}
 	resp, err := c.roundTrip(ctx, c.writeClient, w.call, c.cfg.CallTimeout)
+	if err := c.checkWriteEra(w); err != nil {
+		return Object{}, err
+	}
 	return w.interpret(resp, err, true)
 }
 
