Leases after the store returns from an older copy

A copy may lack the write by which a process took a lease, so its holder, a released or an absent lease in it say nothing about who acts. Before, the holder in the copy renewed, and anybody took a lease that was released or missing, while the lost holder still acted; tokens were given out again.

In an era above zero a lease that was not written in it is taken only a full TTL, with the drift margin, after a process first knew the era. Each era has a lease object of its own: a late write of a former era cannot change it. Tokens hold the era above a sequence of 20 bits, which goes on after the copy's and leaves room for lost holders, as mapswitch derives rank and steps of a hold from it. Versions of maps stay below 2^52. In era 0 names and tokens are as before.

Ruled out: an early renewal by the holder (it cannot know that nobody else took the lease), and one object for all eras (a late write may meet its version by chance).

--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -94,15 +94,15 @@
 }
 
 // New returns a coordinator for a lease whose fencing token is higher than that of
-// any earlier lease and below 2^32.
+// any earlier lease and below 2^32. The low sequenceBits of consecutive tokens count up.
 func New(cfg Config, lease uint64) *Coordinator {
-	n := uint64(cfg.Ranks)
+	n, sequence := uint64(cfg.Ranks), lease&(1<<sequenceBits-1)
 	residues := (distinctHoldLeases + n - 1) / n
 	return &Coordinator{
 		cfg:         cfg.withDefaults(),
 		nextVersion: lease<<versionBits + 1,
-		ownRank:     int(lease % n),
-		residue:     lease / n % residues,
+		ownRank:     int(sequence % n),
+		residue:     sequence / n % residues,
 		residues:    residues,
 		ranks:       make([]rank, cfg.Ranks),
 		contents:    make(map[uint64]Map),
--- a/balance/mapswitch/types.go
+++ b/balance/mapswitch/types.go
@@ -144,6 +144,9 @@
 	defaultPingTimeout    = 100 * time.Millisecond
 	// versionBits is the number of low bits of a version that count the versions of a lease.
 	versionBits = 20
+	// sequenceBits is the number of low bits of a fencing token that differ between consecutive
+	// leases. The others hold the era of the store of leases, after whose change the low bits go on.
+	sequenceBits = 20
 	// maxHoldTries bounds the number of steps that a change tries to hold.
 	maxHoldTries = 6
 	// distinctHoldLeases is the least number of consecutive leases that never hold the
--- a/fleet/duty/lease.go
+++ b/fleet/duty/lease.go
@@ -58,11 +58,12 @@
 	return l
 }
 
-// leaseValue is the stored form of a lease. The object is never deleted, so
+// leaseValue is the stored form of a lease. The object is not deleted in its era, so
 // that fencing tokens never repeat.
 type leaseValue struct {
 	Holder string `json:"holder"`
-	// Epoch is the fencing token. It grows with each change of the holder.
+	// Epoch is the fencing token. It grows with each change of the holder and with the era
+	// of the store, which it holds in its high bits.
 	Epoch uint64 `json:"epoch"`
 	// TTL is in milliseconds.
 	TTL int64 `json:"ttl_ms"`
@@ -79,6 +80,10 @@
 // The holder counts the TTL from before it sent the last confirmed write. Other
 // processes count it on their own monotonic clock from after they first read the
 // current version, so that wall clocks are never compared.
+//
+// When the store returns from an older copy, which an objectapi.EraSource shows, the lease is
+// free but is acquired only a full TTL later, also by the process that held it: the write by
+// which another one acquired it may be lost.
 type Lease struct {
 	cfg LeaseConfig
 
@@ -91,6 +96,16 @@
 	storedSeenAt time.Time
 	// mustRead is true if the platform may hold a version other than stored.
 	mustRead bool
+	// era is the era of stored, and eraSeenAt when this process first knew it.
+	era       uint64
+	eraSeenAt time.Time
+	// latestEpoch is the last fencing token seen in any era.
+	latestEpoch uint64
+	// former is the last lease object of the former eras once formerRead is true, and
+	// formerTTL its TTL.
+	former     objectapi.Object
+	formerTTL  time.Duration
+	formerRead bool
 
 	mu sync.Mutex // leaf lock; guards the fields below
 	// epoch is the fencing token while the lease is held, zero otherwise.
@@ -155,9 +170,10 @@
 }
 
 // AcquireOrRenew acquires the lease if it is free, renews it if this process holds
-// it, and otherwise only reads it. It blocks for at most two platform calls. An
-// error leaves the validity of the lease unchanged.
+// it, and otherwise only reads it. It blocks for at most two platform calls, and a few
+// more after a rise of the era. An error leaves the validity of the lease unchanged.
 func (l *Lease) AcquireOrRenew(ctx context.Context) error {
+	l.enterEra(objectapi.CurrentEra(l.cfg.Store))
 	if l.mustRead || l.value.Holder != l.cfg.Holder {
 		if err := l.read(ctx); err != nil {
 			return err
@@ -165,11 +181,15 @@
 	}
 	switch {
 	case l.stored.Version == 0:
-		return l.write(ctx, l.newValue(1, false))
+		return l.create(ctx)
 	case l.value.Holder == l.cfg.Holder && !l.value.Released:
 		return l.write(ctx, l.newValue(l.value.Epoch, false))
 	case l.value.Released || l.expired(l.cfg.Now()) || l.cfg.HolderDead(l.value.Holder):
-		return l.write(ctx, l.newValue(l.value.Epoch+1, false))
+		epoch, err := l.nextEpoch()
+		if err != nil {
+			return err
+		}
+		return l.write(ctx, l.newValue(epoch, false))
 	default:
 		return nil
 	}
@@ -179,6 +199,7 @@
 // blocks on the platform. The lease is invalid from the start, even after an error.
 func (l *Lease) Release(ctx context.Context) error {
 	l.invalidate()
+	l.enterEra(objectapi.CurrentEra(l.cfg.Store))
 	if l.mustRead {
 		if err := l.read(ctx); err != nil {
 			return err
@@ -204,17 +225,32 @@
 }
 
 func (l *Lease) read(ctx context.Context) error {
-	o, err := l.cfg.Store.Get(ctx, LeaseKind, string(l.cfg.Duty))
-	var notFound *objectapi.NotFoundError
-	if errors.As(err, &notFound) {
-		o, err = objectapi.Object{}, nil
+	o, err := l.get(ctx, l.objectName(l.era))
+	if era := objectapi.CurrentEra(l.cfg.Store); era > l.era {
+		// The answer belongs to the lease of a former era.
+		l.enterEra(era)
+		o, err = l.get(ctx, l.objectName(era))
 	}
 	if err != nil {
 		return err
 	}
+	if era := objectapi.CurrentEra(l.cfg.Store); era > l.era {
+		l.enterEra(era)
+		return errors.Newf("the store returned from an older copy during a read of lease %q", string(l.cfg.Duty))
+	}
 	return l.observe(o)
 }
 
+// get returns a lease object, with version zero if it does not exist.
+func (l *Lease) get(ctx context.Context, name string) (objectapi.Object, error) {
+	o, err := l.cfg.Store.Get(ctx, LeaseKind, name)
+	var notFound *objectapi.NotFoundError
+	if errors.As(err, &notFound) {
+		return objectapi.Object{}, nil
+	}
+	return o, err
+}
+
 // StaleReadError reports that the platform returned an older version of a lease than before.
 type StaleReadError struct {
 	Duty               Name
@@ -240,8 +276,9 @@
 		l.storedSeenAt = l.cfg.Now()
 	}
 	l.stored, l.value, l.mustRead = o, v, false
+	l.latestEpoch = max(l.latestEpoch, v.Epoch)
 	l.setHolder(v)
-	if v.Holder != l.cfg.Holder || v.Released {
+	if o.Version > 0 && (v.Holder != l.cfg.Holder || v.Released) {
 		l.invalidate()
 	}
 	return nil
@@ -256,17 +293,22 @@
 	}
 	sent := l.cfg.Now()
 	o, err := l.cfg.Store.Put(ctx, objectapi.Object{
-		Kind: LeaseKind, Name: string(l.cfg.Duty), Version: l.stored.Version, Value: value,
+		Kind: LeaseKind, Name: l.objectName(l.era), Version: l.stored.Version, Value: value,
 	})
 	var conflict *objectapi.ConflictError
 	if errors.As(err, &conflict) {
 		return l.handleConflict(conflict)
 	}
+	if err == nil && objectapi.CurrentEra(l.cfg.Store) > l.era {
+		// The write may have changed the object of the former era, which nobody renews any more.
+		err = errors.Newf("the store returned from an older copy during a write of lease %q", string(l.cfg.Duty))
+	}
 	if err != nil {
 		l.mustRead = true
 		return err
 	}
 	l.stored, l.value, l.storedSeenAt, l.mustRead = o, v, l.cfg.Now(), false
+	l.latestEpoch = max(l.latestEpoch, v.Epoch)
 	l.setHolder(v)
 	if !v.Released {
 		l.setValid(v.Epoch, sent.Add(l.cfg.TTL-l.cfg.TTL/clockDriftDivisor))
