Registrations of entries after the store returns from an older copy

An entry took its registration in the copy, or the one it had written before, for confirmed, and removed members were not written again until the next full list.

The own registration counts as gone when the era rises and is written again within a retry interval, also if the copy lists it. An entry that makes no calls of the store sees the rise in the version of the members' topic. That version changes with each era, since one of a former era may stand for other registrations elsewhere. Between eras the later start of a host wins. A session of expert maps that ends because the lease is gone after a return first releases the group, as nobody can take the lease at once.

Ruled out: keeping a registration that the copy lists, as later writes may be lost and deletions come back.

--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -171,7 +171,13 @@
 		}
 		token := c.currentToken(running)
 		if token != running {
-			current.stop()
+			if token == 0 && c.lease.Holder() == "" {
+				// After a return of the store nobody can take the lease for a while, so nobody else
+				// would release the group.
+				current.finish()
+			} else {
+				current.stop()
+			}
 			current = c.startSession(ctx, token)
 			running = token
 		}
--- a/fleet/mesh/mesh.go
+++ b/fleet/mesh/mesh.go
@@ -9,7 +9,8 @@
 // the platform refuses to serve still receives updates.
 //
 // Registrations don't expire in the platform: an entry removes those of members
-// that have long been silent, and writes its own again when it is missing.
+// that have long been silent, and writes its own again when it is missing and when
+// the store has returned from an older copy.
 package mesh
 
 import (
@@ -159,8 +160,10 @@
 	registeredRevision uint64
 	// isRegistered is true while the own registration is believed to be in the platform.
 	isRegistered bool
-	fetching     map[Topic]bool
-	behindSince  map[Topic]time.Time
+	// writtenEra is the era of the store in which the own registration was last written.
+	writtenEra  uint64
+	fetching    map[Topic]bool
+	behindSince map[Topic]time.Time
 	// layout divides the known members; layoutStale is true after one was added or removed.
 	layout      layout
 	layoutStale bool
@@ -188,8 +191,8 @@
 // peer is the record of another host.
 type peer struct {
 	member Member
-	// revision is that of its registration, zero if not registered.
-	revision uint64
+	// revision is that of its registration, zero if not registered. era is the era of the last one.
+	revision, era uint64
 	// lastSeen is the time of the last exchange, knownSince when its incarnation was added.
 	lastSeen, knownSince time.Time
 	// lastFailure is the time of the last failed call, failingSince that of the first
@@ -354,8 +357,11 @@
 		p.knownSince = now
 	}
 	if revision > p.revision {
-		p.revision = revision
-		p.member = member
+		// A copy to which the store returned may hold the registration of an earlier incarnation.
+		if era := objectapi.EraOf(revision); era == p.era || member.Started >= p.member.Started {
+			p.member = member
+		}
+		p.revision, p.era = revision, objectapi.EraOf(revision)
 	}
 	return p
 }
--- a/fleet/mesh/register.go
+++ b/fleet/mesh/register.go
@@ -17,6 +17,9 @@
 	retryInterval = 250 * time.Millisecond
 	// unregisterTimeout is the timeout for deleting the registration at shutdown.
 	unregisterTimeout = 500 * time.Millisecond
+	// relistDelay is the time before a list after the history is gone, so that a store whose
+	// history is always gone is not called without a pause.
+	relistDelay = 25 * time.Millisecond
 )
 
 // maintainRegistration keeps the own registration in the platform. A reader also
@@ -58,6 +61,11 @@
 	defer m.setWatching(false)
 	for until := time.Now().Add(m.cfg.ListInterval); time.Now().Before(until) && m.IsReader(); {
 		changed, at, err := m.opt.Store.Watch(ctx, Kind, revision)
+		var gone *objectapi.HistoryGoneError
+		if errors.As(err, &gone) {
+			sleep(ctx, relistDelay)
+			return nil // The caller lists again.
+		}
 		if err != nil {
 			return err
 		}
@@ -77,9 +85,33 @@
 	return nil
 }
 
-// ensureRegistered writes the own registration if it is missing or replaced.
+// storeEra returns the greatest era of the store that this entry or an alive member has seen.
+// An entry that makes no calls of the store learns of a rise from the members' versions.
+func (m *Mesh) storeEra() uint64 {
+	era := objectapi.CurrentEra(m.opt.Store)
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era = max(era, objectapi.EraOf(m.knownRevision))
+	for _, p := range m.peers {
+		if now.Sub(p.lastSeen) < m.aliveTimeout() {
+			era = max(era, objectapi.EraOf(p.versions[topicMembers]))
+		}
+	}
+	return era
+}
+
+// ensureRegistered writes the own registration if it is missing, replaced or was last written
+// in a former era of the store.
 func (m *Mesh) ensureRegistered(ctx context.Context) error {
+	era := m.storeEra()
 	m.mu.Lock()
+	if m.writtenEra < era {
+		m.isRegistered = false
+	}
+	if objectapi.EraOf(m.registeredRevision) < era {
+		m.registeredRevision = 0
+	}
 	inPlace, version := m.isRegistered, m.registeredRevision
 	m.mu.Unlock()
 	if inPlace {
@@ -108,6 +140,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.isRegistered, m.registeredRevision = true, written.Version
+	m.writtenEra = objectapi.EraOf(written.Version)
 	return nil
 }
 
@@ -156,7 +189,9 @@
 // replaceRegistrations replaces all registrations by those at a revision. The caller
 // holds mu.
 func (m *Mesh) replaceRegistrations(listed map[id.Host]registration, revision uint64) {
-	if !maps.Equal(listed, m.registrations) {
+	// In a new era the version changes with the same registrations too: a version of a former era
+	// may stand for other ones at another entry.
+	if !maps.Equal(listed, m.registrations) || objectapi.EraOf(revision) > objectapi.EraOf(m.changeRevision) {
 		m.changeRevision = revision
 	}
 	m.registrations, m.knownRevision = listed, revision
@@ -215,9 +250,10 @@
 }
 
 // updateOwnRegistration records whether the own registration is still in place. A
-// deleted one has no incarnation. The caller holds mu.
+// deleted one has no incarnation. One of a later era than that of the last write is that of the
+// copy to which the store returned. The caller holds mu.
 func (m *Mesh) updateOwnRegistration(r registration) {
-	m.isRegistered = r.Member.Incarnation == m.opt.Self.Incarnation
+	m.isRegistered = r.Member.Incarnation == m.opt.Self.Incarnation && objectapi.EraOf(r.Revision) <= m.writtenEra
 	m.registeredRevision = 0
 	if r.Member.Incarnation != "" {
 		m.registeredRevision = r.Revision
--- a/fleet/objectapi/faultstore/faultstore.go
+++ b/fleet/objectapi/faultstore/faultstore.go
@@ -33,9 +33,13 @@
 	changed         chan struct{} // closed and replaced when down changes
 	responsesToLose int
 	readLag         int
+	era             uint64
 }
 
-var _ objectapi.Store = (*Store)(nil)
+var (
+	_ objectapi.Store     = (*Store)(nil)
+	_ objectapi.EraSource = (*Store)(nil)
+)
 
 // New returns a store without faults.
 func New(inner *memstore.Store) *Store {
@@ -92,10 +96,21 @@
 	return ctx, cancel, nil
 }
 
+// Era implements objectapi.EraSource. It is the era at the end of the last answered call.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // end returns the fault to inject after a call, if any.
 func (s *Store) end() error {
+	era := s.inner.Era()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.down {
+		s.era = era
+	}
 	switch {
 	case s.down:
 		return &objectapi.UnavailableError{Cause: errOutage}
--- a/fleet/objectapi/memstore/memstore.go
+++ b/fleet/objectapi/memstore/memstore.go
@@ -30,7 +30,9 @@
 type Store struct {
 	pollWait time.Duration
 
-	mu       sync.Mutex // leaf lock: nothing else is locked under it
+	mu sync.Mutex // leaf lock: nothing else is locked under it
+	// era is added to all versions and revisions that callers see, not to the stored ones.
+	era      uint64
 	versions map[key][]objectapi.Object
 	revision uint64
 	changed  chan struct{}
@@ -68,7 +70,7 @@
 	if !exists(o) {
 		return objectapi.Object{}, &objectapi.NotFoundError{Kind: kind, Name: name}
 	}
-	return o, nil
+	return s.compose(o), nil
 }
 
 // List returns the current objects of a kind, ordered by name.
@@ -84,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects := s.selectLocked(kind, func(o objectapi.Object) bool { return !o.Deleted }, writesAgo)
-	return objects, s.revision, nil
+	return objects, objectapi.ComposeVersion(s.era, s.revision), nil
 }
 
 // Put writes o if the stored version equals o.Version.
@@ -121,7 +123,10 @@
 	end := time.NewTimer(s.pollWait)
 	defer end.Stop()
 	for {
-		objects, revision, changed := s.since(kind, after)
+		objects, revision, changed := s.since(kind, objectapi.WithoutEra(after))
+		if objectapi.EraOf(after) != objectapi.EraOf(revision) {
+			return nil, 0, &objectapi.HistoryGoneError{}
+		}
 		if len(objects) > 0 {
 			return objects, revision, nil
 		}
@@ -157,8 +162,8 @@
 	defer s.mu.Unlock()
 	k := key{o.Kind, o.Name}
 	current := earlierVersion(s.versions[k], 0)
-	if seen := visibleVersion(current); seen != o.Version {
-		conflict := current
+	conflict := s.compose(current)
+	if seen := visibleVersion(conflict); seen != o.Version {
 		conflict.Kind, conflict.Name = o.Kind, o.Name
 		conflict.Version = seen
 		return objectapi.Object{}, &objectapi.ConflictError{ExpectedVersion: o.Version, Current: conflict}
@@ -170,14 +175,14 @@
 	s.versions[k] = slices.Clone(kept[max(0, len(kept)-historyLen-1):])
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return o, nil
+	return s.compose(o), nil
 }
 
 func (s *Store) since(kind string, after uint64) ([]objectapi.Object, uint64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects := s.selectLocked(kind, func(o objectapi.Object) bool { return o.Revision > after }, 0)
-	return objects, s.revision, s.changed
+	return objects, objectapi.ComposeVersion(s.era, s.revision), s.changed
 }
 
 func (s *Store) selectLocked(kind string, keep func(objectapi.Object) bool, writesAgo int) []objectapi.Object {
@@ -187,13 +192,23 @@
 			continue
 		}
 		if o := earlierVersion(versions, writesAgo); keep(o) {
-			objects = append(objects, o)
+			objects = append(objects, s.compose(o))
 		}
 	}
 	slices.SortFunc(objects, func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
 	return objects
 }
 
+// compose adds the era to the versions of a stored object. The caller holds mu.
+func (s *Store) compose(o objectapi.Object) objectapi.Object {
+	for _, v := range []*uint64{&o.Version, &o.Revision, &o.Created} {
+		if *v != 0 {
+			*v = objectapi.ComposeVersion(s.era, *v)
+		}
+	}
+	return o
+}
+
 func earlierVersion(versions []objectapi.Object, writesAgo int) objectapi.Object {
 	if len(versions) == 0 {
 		return objectapi.Object{}
