Endpoints after the store returns from an older copy

An older copy brought removed endpoints back, took new ones away and made draining ones usable until their writers repeated themselves. A watch that went on under a greater revision of the former era hid the changes of the new one.

What is written in the new era is applied at once. A registration that is read again in the copy keeps its creation revision, so that a departure noted for it holds. Versions of the topic order by era first and change with each era.

store.restored is logged and siskinford_store_era counts.

Ruled out: exchanging what one entry holds. The end of the time would change the content without a revision to announce it by.

--- a/entry/edge/control.go
+++ b/entry/edge/control.go
@@ -103,6 +103,7 @@
 		}
 		return float64(blocked)
 	})
+	e.set.NewGauge("siskinford_store_era", func() float64 { return float64(e.store.Era()) })
 	e.set.NewGauge("siskinford_platform_available", func() float64 {
 		if e.store.Available() {
 			return 1
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -171,7 +171,7 @@
 	e.store, err = objectapi.NewClient(objectapi.ClientConfig{
 		BaseURL: "http://" + cfg.StoreAddress, Caller: string(cfg.Host), Protocol: a.Protocol,
 		CallTimeout: storeCallTimeout, KeepAlive: storeKeepAlive, Source: cfg.Source,
-		Backoff: objectapi.Backoff{Min: storeBackoffMin, Max: storeBackoffMax},
+		Backoff: objectapi.Backoff{Min: storeBackoffMin, Max: storeBackoffMax}, OnRestore: e.onStoreRestored,
 	})
 	if err != nil {
 		return nil, err
@@ -254,6 +254,12 @@
 	return err
 }
 
+// onStoreRestored logs that the store has returned from an older copy.
+func (e *Edge) onStoreRestored(before, after uint64) {
+	e.log.Warn().Str("event", "store.restored").Uint64("era_before", before).Uint64("era", after).
+		Msg("the platform's store has returned from an older copy; reading it again")
+}
+
 func (e *Edge) onConfig(t *routes.Table) {
 	e.handler.SetTable(t)
 	e.clients.setLimits(t.Limits())
--- a/entry/edge/registrations.go
+++ b/entry/edge/registrations.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"time"
 
 	"github.com/siskinford/siskinford/fleet/objectapi"
 )
@@ -21,7 +22,9 @@
 // endpoints of a present-day fleet has fewer.
 const maxChanges = 256
 
-// registrations holds the registrations of endpoints and their latest changes.
+// registrations holds the registrations of endpoints and their latest changes. Those that
+// entries exchange are the ones of the store; after the store has returned from an older copy,
+// others may be held in force (see hold.go).
 type registrations struct {
 	// version is the revision of the last change, and synced the revision up to which
 	// changes have been applied.
@@ -30,6 +33,13 @@
 	// changes holds the changes after the revision base, oldest first.
 	changes []change
 	base    uint64
+	// removed holds the last registrations of endpoints that were removed.
+	removed map[string]removal
+	// held holds what is in force instead of byName until heldUntil. Nil is a removal.
+	held      map[string]*registration
+	heldUntil time.Time
+	// now returns the time. Nil is time.Now.
+	now func() time.Time
 }
 
 // change is one new, updated or removed registration.
@@ -54,10 +64,20 @@
 	if revision < r.synced || (revision == r.synced && r.byName != nil) {
 		return false
 	}
+	r.keepCreated(listed)
+	// In a new era the version changes with the same registrations too: a version of a former era
+	// may stand for other ones at another entry.
+	newEra := objectapi.EraOf(revision) > objectapi.EraOf(r.synced)
 	r.synced = revision
-	if r.byName != nil && sameRegistrations(listed, r.byName) {
+	if r.byName != nil && !newEra && sameRegistrations(listed, r.byName) {
 		return false
 	}
+	if r.byName != nil && newEra {
+		r.hold(listed)
+	} else {
+		r.releaseRewritten(listed)
+		r.recordRemovals(listed)
+	}
 	r.byName, r.version = listed, revision
 	r.changes, r.base = nil, revision
 	return true
@@ -65,8 +85,8 @@
 
 // applyEvents applies watch events up to a revision and reports whether any applied.
 func (r *registrations) applyEvents(objects []objectapi.Object, revision uint64) bool {
-	if revision <= r.synced {
-		return false
+	if revision <= r.synced || objectapi.EraOf(revision) != objectapi.EraOf(r.synced) {
+		return false // Changes of a new era follow a list of that era.
 	}
 	changed := make(map[string]*registration)
 	for _, o := range objects {
@@ -75,7 +95,7 @@
 		case o.Deleted:
 			changed[o.Name] = nil
 		default:
-			changed[o.Name] = &registration{Created: o.Created, Value: o.Value}
+			changed[o.Name] = &registration{Created: r.createdOf(o.Name, o.Created), Value: o.Value}
 		}
 	}
 	r.synced = revision
@@ -90,6 +110,8 @@
 		changed = r.replace(u.All, version)
 	case u.Since == 0:
 		return false // Neither a list nor changes.
+	case objectapi.EraOf(u.Since) != objectapi.EraOf(version):
+		return false // Changes do not lead from one era to another.
 	case r.synced < u.Since:
 		return false // The changes in between are missing.
 	default:
@@ -110,7 +132,9 @@
 		r.byName = make(map[string]registration)
 	}
 	for name, value := range changed {
+		delete(r.held, name)
 		if value == nil {
+			r.recordRemoval(name)
 			delete(r.byName, name)
 		} else {
 			r.byName[name] = *value
--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -33,6 +34,8 @@
 	mu        sync.Mutex // acquired before the locks of the handler and of groupManager
 	config    mesh.Value
 	endpoints registrations
+	// releaseAt is when scheduleRelease last planned to release held registrations.
+	releaseAt time.Time
 	// rejected holds the last reason for which a registration was rejected, by name.
 	rejected map[string]string
 }
@@ -75,6 +78,7 @@
 		defer v.mu.Unlock()
 		if v.endpoints.merge(u, value.Version) {
 			v.publishEndpoints("another entry")
+			v.scheduleRelease()
 		}
 	}
 }
@@ -138,6 +142,7 @@
 	}
 	if v.endpoints.replace(listed, revision) {
 		v.publishEndpoints("the platform")
+		v.scheduleRelease()
 	}
 }
 
@@ -179,7 +184,7 @@
 	v.onChange()
 	var out []direct.Endpoint
 	draining := 0
-	for name, r := range v.endpoints.byName {
+	for name, r := range v.endpoints.inForce() {
 		e, err := v.adapter.DecodeEndpoint(name, r.Value)
 		if err != nil {
 			v.reportRejected(name, err)
@@ -193,7 +198,7 @@
 	}
 	slices.SortFunc(out, func(a, b direct.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	v.log.Info().Str("event", "endpoints.applied").Str("source", source).Uint64("revision", v.endpoints.version).
-		Int("endpoints", len(out)).Int("draining", draining).Send()
+		Int("endpoints", len(out)).Int("draining", draining).Int("held", len(v.endpoints.held)).Send()
 	v.onEndpoints(out)
 }
 
--- a/entry/edge/watch.go
+++ b/entry/edge/watch.go
@@ -78,7 +78,8 @@
 	w.edge.log.Warn().Err(err).Str("event", event).Str("kind", w.kind).Send()
 }
 
-// watch applies events until the history is gone or the entry is no longer a reader.
+// watch applies events until the history is gone, also because the store has returned from an
+// older copy, or the entry is no longer a reader.
 func (w *objectWatcher) watch(ctx context.Context, revision uint64) {
 	limiter := rate.NewLimiter(watchRate, watchBurst)
 	for limiter.Wait(ctx) == nil && w.edge.mesh.IsReader() {
