Soak and system test with a store that returns from older copies

The stand-in store keeps copies and goes back to one; the operator's and the replicas' objects are written again after a pause. The soak plays returns, also during others, together with restarts and cuts; the plans of the regression seeds of TestSoak stay as they were, as returns are drawn from a random source of their own.

TestStoreReturns found an older fault: a removed endpoint stayed in use until the next full list, as the removal came with the revision of the object's last write and was taken for an event that the list includes. A removal now also counts if it is of the registration that is known (TestRemovalWithRevisionOfLastWrite fails before).

--- a/entry/edge/registrations.go
+++ b/entry/edge/registrations.go
@@ -91,7 +91,7 @@
 	changed := make(map[string]*registration)
 	for _, o := range objects {
 		switch {
-		case o.Revision != 0 && o.Revision <= r.synced: // A later list from another entry includes it.
+		case o.Revision != 0 && o.Revision <= r.synced && !r.removes(o): // A later list from another entry includes it.
 		case o.Deleted:
 			changed[o.Name] = nil
 		default:
@@ -102,6 +102,13 @@
 	return r.apply(changed, revision)
 }
 
+// removes reports whether an event removes the registration that is known. A store may send a removed
+// object with the revision of its last write, which says nothing about when it was removed.
+func (r *registrations) removes(o objectapi.Object) bool {
+	known, ok := r.byName[o.Name]
+	return ok && o.Deleted && o.Created != 0 && objectapi.WithoutEra(o.Created) == objectapi.WithoutEra(known.Created)
+}
+
 // merge applies another entry's update and reports whether any registration changed.
 func (r *registrations) merge(u update, version uint64) (changed bool) {
 	switch {
--- a/entry/edge/values_test.go
+++ b/entry/edge/values_test.go
@@ -108,6 +108,21 @@
 	assert.Equal(t, len(a.endpoints), 1)
 }
 
+// TestRemovalWithRevisionOfLastWrite guards against a removal that is taken for an event that a list
+// includes, as the store sends the removed object as it was last written.
+func TestRemovalWithRevisionOfLastWrite(t *testing.T) {
+	a := newApplied()
+	a.replaceEndpoints([]objectapi.Object{object("a", `{"address":"1"}`, 3), object("b", `{"address":"2"}`, 4)}, 8)
+	gone := object("a", `{"address":"1"}`, 3)
+	gone.Deleted = true
+	a.applyEndpointEvents([]objectapi.Object{gone}, 9)
+	assert.Equal(t, len(a.endpoints), 1)
+	// The removal of a registration before the one that is known.
+	a.apply(topicEndpoints, mesh.Value{Version: 20, Data: []byte(`{"all":{"a":{"created":15,"value":{"address":"1"}}}}`)})
+	a.applyEndpointEvents([]objectapi.Object{gone}, 21)
+	assert.Equal(t, len(a.endpoints), 1)
+}
+
 // TestEndpointsFromAnotherEntry covers an entry that the platform refuses to serve: it
 // uses another entry's list and skips older events that the list already includes.
 func TestEndpointsFromAnotherEntry(t *testing.T) {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -37,6 +37,7 @@
 	"the platform turns some entries away":                      rejectSome(faults.PlatformFaults{Silent: true}),
 	"the platform refuses some entries":                         rejectSome(faults.PlatformFaults{Busy: true}),
 	"the platform forgets its history":                          compactHistory,
+	faultReturn:                                                 restorePlatform,
 	"a zone is cut off":                                         cutZone(faultproxy.Faults{CutToTarget: true, CutToClient: true}),
 	"a zone is cut off one way":                                 cutZone(faultproxy.Faults{CutToTarget: true}),
 	"a zone's connections are refused":                          cutZone(faultproxy.Faults{Refuse: true, Loss: 1}),
@@ -67,7 +68,13 @@
 	"many clients come at once":                                 surge,
 }
 
-func faultNames() []string { return slices.Sorted(maps.Keys(injectors)) }
+// faultReturn is planned by a random source of its own, so that the plans of earlier seeds stay as
+// they were.
+const faultReturn = "the platform returns from an older copy"
+
+func faultNames() []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(injectors)), func(name string) bool { return name == faultReturn })
+}
 
 // plannedWork are the planned operations, which also run while there are no faults, so
 // that their promises can be checked.
@@ -252,6 +259,38 @@
 	return endFault
 }
 
+const (
+	// maxCopyAge is the greatest age of the copy to which the platform returns.
+	maxCopyAge = 5 * time.Second
+	// maxRewritePause is the time within which the operator and the back ends write theirs again:
+	// three heartbeats of 1.2 s.
+	maxRewritePause = 3600 * time.Millisecond
+	// secondReturnAfter is the time from a return to one during it.
+	secondReturnAfter = 700 * time.Millisecond
+)
+
+// restorePlatform makes the platform go away for a moment and return from an older copy, in half
+// of the cases twice.
+func restorePlatform(r *run, f Fault) func() {
+	endFault := r.record.markFaulty(Host{Kind: Platform})
+	r.background.Go(func() {
+		defer endFault()
+		age := time.Duration(f.Intensity * float64(maxCopyAge))
+		pause := maxRewritePause * time.Duration(1+f.Host%3) / 3
+		for i := range 1 + f.Other%2 {
+			if i > 0 {
+				r.sleep(secondReturnAfter)
+			}
+			back := r.platformFaults.add(func(int) faults.PlatformFaults { return faults.PlatformFaults{Reset: true} })
+			r.sleep(f.Duration / 4)
+			r.site.RestorePlatform(age, pause)
+			back()
+		}
+		r.sleep(pause)
+	})
+	return nil
+}
+
 // injectLinkFaults adds faults to links until the returned function is called.
 func (r *run) injectLinkFaults(hosts []Host, of func(from, to Host) faultproxy.Faults) func() {
 	endFault := r.record.markFaulty(hosts...)
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -47,6 +47,9 @@
 	maxFaultDuration = 3500 * time.Millisecond
 	// minWaveFaults and maxWaveFaults bound the faults of a wave, repetitions excluded.
 	minWaveFaults, maxWaveFaults = 2, 6
+	// returnProbability is the probability that a wave has a return of the platform from an older
+	// copy, unless the kinds of faults are given.
+	returnProbability = 0.25
 	// repeatProbability is the probability that a fault is repeated shortly after.
 	repeatProbability = 0.25
 )
@@ -56,20 +59,22 @@
 func newPlan(seed uint64, shape Shape, length time.Duration, names []string) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0x50a4))
 	p := Plan{Seed: seed, Shape: shape, LoadDuration: length}
+	returns := 0.0
 	if len(names) == 0 {
-		names = faultNames()
+		names, returns = faultNames(), returnProbability
 	}
+	returnRNG := rand.New(rand.NewPCG(seed, 13)) // With 13 no regression seed of TestSoak changes.
 	for wave := warmUp; wave+waveDuration+waveGap <= length; wave += waveDuration + waveGap {
 		work := wave + waveDuration + plannedAfter - maxFaultDuration/2
 		p.Faults = append(p.Faults, Fault{
 			Name: plannedWork[rng.IntN(len(plannedWork))], At: work + randomDuration(rng, 0, plannedWindow), Duration: minFaultDuration,
 			Host: rng.IntN(1 << 16), Other: rng.IntN(1 << 16), Intensity: rng.Float64(),
 		})
+		if returnRNG.Float64() < returns {
+			p.Faults = append(p.Faults, randomFault(returnRNG, faultReturn, wave))
+		}
 		for range minWaveFaults + rng.IntN(maxWaveFaults-minWaveFaults+1) {
-			f := Fault{
-				Name: names[rng.IntN(len(names))], At: wave + randomDuration(rng, 0, waveDuration), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
-				Host: rng.IntN(1 << 16), Other: rng.IntN(1 << 16), Intensity: rng.Float64(),
-			}
+			f := randomFault(rng, names[rng.IntN(len(names))], wave)
 			p.Faults = append(p.Faults, f)
 			if rng.Float64() >= repeatProbability {
 				continue
@@ -85,6 +90,13 @@
 	return p
 }
 
+func randomFault(rng *rand.Rand, name string, wave time.Duration) Fault {
+	return Fault{
+		Name: name, At: wave + randomDuration(rng, 0, waveDuration), Duration: randomDuration(rng, minFaultDuration, maxFaultDuration),
+		Host: rng.IntN(1 << 16), Other: rng.IntN(1 << 16), Intensity: rng.Float64(),
+	}
+}
+
 func randomDuration(rng *rand.Rand, from, to time.Duration) time.Duration {
 	return from + time.Duration(rng.Int64N(int64(to-from)))
 }
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -137,6 +137,9 @@
 	// SetPlatformFaults replaces the platform's faults towards entries.
 	SetPlatformFaults(func(entry int) faults.PlatformFaults)
 	CompactPlatform()
+	// RestorePlatform makes the platform's store return to a copy of the given age. The operator
+	// and the back ends write theirs again after rewriteAfter.
+	RestorePlatform(age, rewriteAfter time.Duration)
 	// Configure writes a generation of the configuration.
 	Configure(generation int) error
 	// SetBehavior sets how back ends handle requests.
