Room for lost holders of a lease: what it covers and what not

Quick takeovers after ended holders can be more; then only the difference of ranks and steps between two leases is lost, while tokens still grow. No change of behaviour.

--- a/fleet/duty/era.go
+++ b/fleet/duty/era.go
@@ -18,9 +18,10 @@
 	sequenceBits = 20
 	maxSequence  = 1<<sequenceBits - 1
 	maxEra       = 1<<12 - 1
-	// lostHolders exceeds the number of holders whose writes a return may have lost: a takeover
-	// takes at least most of a TTL, and a copy is a few seconds old. Sequences go on above
-	// them, since consecutive tokens must differ in their sequences as well.
+	// lostHolders is the room for holders whose writes a return lost and that the next holder does
+	// not know of. Sequences go on above them, since consecutive tokens must differ in their
+	// sequences as well. A takeover takes a TTL unless the holder has ended, and a copy is a few
+	// seconds old.
 	lostHolders = 4
 	// maxFormerEras bounds the former eras in which the last lease is looked for.
 	maxFormerEras = 4
