--- a/entry/edge/evacuations.go
+++ b/entry/edge/evacuations.go
@@ -43,6 +43,7 @@
 
 	mu   sync.Mutex // acquired after values.mu, before the locks of the handler and of the mesh
 	set  evacuation.Set
+	held heldZones
 	wait evacuation.Wait
 	// unknown holds the revisions of the zones that were reported to be unknown.
 	unknown map[id.Zone]uint64
@@ -63,7 +64,7 @@
 func (v *evacuations) zones() ([]evacuation.Zone, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.set.Zones(), v.set.Known()
+	return v.inForce(), v.set.Known()
 }
 
 // encode returns the set for another entry.
@@ -112,7 +113,8 @@
 func (v *evacuations) update(source string, change func() (bool, error)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	before := v.set.Zones()
+	before, version := v.inForce(), v.set.Version()
+	last := v.set.Zones()
 	changed, err := change()
 	if err != nil {
 		v.log.Error().Err(err).Str("event", "evacuations.rejected").Str("source", source).Send()
@@ -121,7 +123,12 @@
 	if !changed {
 		return
 	}
-	after := v.set.Zones()
+	if version != 0 && objectapi.EraOf(v.set.Version()) > objectapi.EraOf(version) {
+		v.hold(before)
+	} else {
+		v.held.release(last, v.set.Zones(), time.Now())
+	}
+	after := v.inForce()
 	v.apply(after)
 	v.onChange()
 	v.logChanges(source, before, after)
--- a/entry/edge/values.go
+++ b/entry/edge/values.go
@@ -34,6 +34,8 @@
 	mu        sync.Mutex // acquired before the locks of the handler and of groupManager
 	config    mesh.Value
 	endpoints registrations
+	// releaseAt is when scheduleRelease last planned to release held registrations.
+	releaseAt time.Time
 	// rejected holds the last reason for which a registration was rejected, by name.
 	rejected map[string]string
 	// read holds when the registrations of cold endpoints were first read with their present content.
@@ -84,6 +86,7 @@
 		defer v.mu.Unlock()
 		if v.endpoints.merge(u, value.Version) {
 			v.publishEndpoints("another entry")
+			v.scheduleRelease()
 		}
 	}
 }
@@ -147,6 +150,7 @@
 	}
 	if v.endpoints.replace(listed, revision) {
 		v.publishEndpoints("the platform")
+		v.scheduleRelease()
 	}
 }
 
@@ -189,7 +193,7 @@
 	var out []direct.Endpoint
 	draining, now := 0, time.Now()
 	read := make(map[string]readRegistration)
-	for name, r := range v.endpoints.byName {
+	for name, r := range v.endpoints.inForce() {
 		e, err := v.adapter.DecodeEndpoint(name, r.Value)
 		if err != nil {
 			v.reportRejected(name, err)
@@ -211,7 +215,7 @@
 	v.read = read
 	slices.SortFunc(out, func(a, b direct.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	v.log.Info().Str("event", "endpoints.applied").Str("source", source).Uint64("revision", v.endpoints.version).
-		Int("endpoints", len(out)).Int("draining", draining).Send()
+		Int("endpoints", len(out)).Int("draining", draining).Int("held", len(v.endpoints.held)).Send()
 	v.onEndpoints(out)
 }
 
