Learn how much load each endpoint takes well, by limits and speeds

Cause: endpoints of one service differ in speed, and some slow down before their slots are full. The scheduler knows configured slots only, so a slow endpoint gets as many requests as the others. Nothing sets it yet.

--- a/balance/scheduler/dispatch.go
+++ b/balance/scheduler/dispatch.go
@@ -60,7 +60,7 @@
 		if !e.accepts(now) || s.breakerBlocks(e, now) || slices.Contains(r.Exclude, e.Name) {
 			return false
 		}
-		if e.ownLoad.Running+e.peerLoad.Running >= e.Slots+s.cfg.Overcommit {
+		if e.ownLoad.Running+e.peerLoad.Running >= s.limit(e, now) {
 			return false
 		}
 		if cost := s.cost(e, now); best == nil || cost < least {
@@ -98,7 +98,7 @@
 	if !e.Preferred && len(s.preferred) > 0 {
 		requests += s.cfg.Affinity
 	}
-	cost := requests * e.slowdown / float64(max(e.Slots, 1))
+	cost := requests * s.pace(e, now) / float64(max(e.Slots, 1))
 	if e.suspectUntil > now {
 		cost += suspectCost
 	}
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	periodStarts, lastPeriodStarts int
 	// usualStarts is the moving average of the starts in a period without outages.
 	usualStarts float64
+	// limits is nil if no limits are learnt.
+	limits Limits
 }
 
 type endpoint struct {
@@ -230,7 +232,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.accepts(now) {
-			sum += max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0)
+			sum += max(s.limit(e, now)-e.ownLoad.Running-e.peerLoad.Running, 0)
 		}
 	}
 	return sum
