--- a/balance/capacity/capacity.go
+++ b/balance/capacity/capacity.go
@@ -69,7 +69,9 @@
 	// peerUsual; reference follows decreases of it at once and increases slowly. Zero means unknown.
 	own, usual, reference float64
 	peerUsual             []time.Duration
-	evaluatedAt           time.Duration
+	// total holds the sums of all endpoints' averages by concurrency.
+	total       []average
+	evaluatedAt time.Duration
 }
 
 type endpoint struct {
@@ -127,6 +129,12 @@
 	a.squares += b.squares
 }
 
+func (a *average) subtract(b average) {
+	a.weight -= b.weight
+	a.sum -= b.sum
+	a.squares -= b.squares
+}
+
 func (a average) mean() float64 { return a.sum / a.weight }
 
 // deviation returns the standard deviation, at least a third of the mean: a few equal
@@ -332,8 +340,11 @@
 
 // between returns the average over concurrencies from and to.
 func (p *pacer) between(from, to int) average {
-	var out average
-	for _, a := range p.averages[from : to+1] {
+	return sum(p.averages[from : to+1])
+}
+
+func sum(list []average) (out average) {
+	for _, a := range list {
 		out.add(a)
 	}
 	return out
@@ -350,6 +361,7 @@
 		p.decay(now, l.cfg.HalfLife)
 		p.endBatch(now)
 	}
+	l.sumPacers()
 	for _, e := range l.endpoints {
 		target := 1.0
 		if e.told != 0 {
@@ -375,6 +387,22 @@
 	}
 }
 
+// sumPacers sums up the averages of all endpoints by concurrency.
+func (l *Learner) sumPacers() {
+	clear(l.total)
+	for _, p := range l.pacers {
+		if p.shared {
+			continue
+		}
+		if n := len(p.averages); len(l.total) < n {
+			l.total = append(l.total, make([]average, n-len(l.total))...)
+		}
+		for c, a := range p.averages {
+			l.total[c].add(a)
+		}
+	}
+}
+
 // updateUsual sets the usual time to the median over the pacers, by their times at or
 // below the limit.
 func (l *Learner) updateUsual(elapsed time.Duration) {
@@ -529,7 +557,7 @@
 		}
 		growth = high.mean() / low.mean()
 		errors := (high.mean() - low.mean()) / (low.deviation() * math.Sqrt(1/low.weight+1/high.weight))
-		if growth >= (minGrowth+unseenGrowth*p.unseen)*math.Pow(others(c), p.unseen) && errors >= significance {
+		if errors >= significance && growth >= (minGrowth+unseenGrowth*p.unseen)*math.Pow(others(c), p.unseen) {
 			return c, growth
 		}
 		return 0, 1
@@ -540,13 +568,9 @@
 // othersGrowth returns the time of the other endpoints' answers above a concurrency relative to those below it, at
 // least one. What they show too is a sign of queues that the entry does not see, rather than of a knee.
 func (l *Learner) othersGrowth(of *pacer, limit int) float64 {
-	var low, high average
-	for _, p := range l.pacers {
-		if p != of && !p.shared && limit < p.most {
-			low.add(p.between(0, limit))
-			high.add(p.between(limit+1, p.most))
-		}
-	}
+	low, high := sum(l.total[:limit+1]), sum(l.total[limit+1:])
+	low.subtract(of.between(0, limit))
+	high.subtract(of.between(limit+1, of.most))
 	if low.weight < minWeight || high.weight < minWeight {
 		return 1
 	}
--- a/cmd/internal/platformflags/platformflags.go
+++ b/cmd/internal/platformflags/platformflags.go
@@ -64,6 +64,7 @@
 	set.Int(&s.Run.MetricsPort, "metrics-port", "port", "Port of an additional listener for metrics, 0 for none")
 	set.Bool(&s.Run.BindSource, "bind-source", "Open connections from the host's own address, for hosts with several")
 	set.String(&s.Run.AdvertiseAddress, "advertise", "Address (ip:port) that other entries connect to, if it is not the listen address")
+	set.Bool(&s.Run.LearnedLimits, "learned-limits", "Learn how fast each endpoint is and how many requests it takes well")
 	settings.Text(set, &s.Log, "log", "How much is logged: full, bounded or off")
 	set.Int(&s.LogLines, "log-lines", "lines per second", "Limit of lines below level warn in mode bounded")
 	set.Int(&s.GCPercent, "gc-percent", "percent", "Heap growth that triggers a garbage collection")
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -35,7 +35,9 @@
 	// Source is the local address for connections to endpoints. Default: chosen by the
 	// operating system.
 	Source netip.Addr
-	Log    zerolog.Logger
+	// LearnLimits turns on learnt limits and speeds of endpoints.
+	LearnLimits bool
+	Log         zerolog.Logger
 	// Metrics receives counters and histograms. Default: a new set.
 	Metrics *metrics.Set
 }
--- a/entry/direct/loads.go
+++ b/entry/direct/loads.go
@@ -33,6 +33,10 @@
 	// Loads has endpointLoadBytes for each endpoint with requests. The keys 1 to 3 were used by
 	// a former encoding.
 	Loads []byte `cbor:"4,keyasint"`
+	// Learnt has learntReportBytes for each endpoint that differs.
+	Learnt []byte `cbor:"5,keyasint,omitempty"`
+	// UsualMicros is the time of an answer that the sender takes for the usual one, zero if unknown.
+	UsualMicros uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // loadsByHash are loads by the hash of the endpoint's name.
@@ -123,8 +127,10 @@
 				x.services[name].addTo(sum)
 			}
 		}
-		if len(sum) > 0 {
-			out[name] = sum.encode()
+		encoded := sum.encode()
+		encoded.Learnt, encoded.UsualMicros = l.learntLocked(name, s, of)
+		if len(encoded.Loads) > 0 || len(encoded.Learnt) > 0 || encoded.UsualMicros > 0 {
+			out[name] = encoded
 		}
 	}
 	return cbor.Marshal(out)
@@ -186,15 +192,17 @@
 // applyLocked passes the sums to the services. The caller holds mu.
 func (l *LoadExchange) applyLocked() {
 	for name, s := range l.handler.Services() {
-		sum := make(loadsByHash)
+		sum, learnt := make(loadsByHash), peersLearnt{sources: len(l.sources), reports: make(learntByHash)}
 		var latest time.Time
 		for _, x := range l.sources {
 			if x.at.After(latest) {
 				latest = x.at
 			}
 			x.services[name].addTo(sum)
+			x.services[name].addLearntTo(learnt.reports)
+			learnt.usual = append(learnt.usual, x.services[name].usual())
 		}
-		s.setPeerLoads(sum, latest)
+		s.setPeerLoads(sum, learnt, latest)
 	}
 }
 
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -32,6 +32,8 @@
 	// lastEvent is the time of the last event of any stream, in nanoseconds since start.
 	lastEvent  atomic.Int64
 	quarantine *partQuarantine
+	// learner is nil unless limits are learnt.
+	learner *limitLearner
 
 	mu        sync.Mutex // leaf lock; guards all below
 	config    routes.Service
@@ -66,6 +68,10 @@
 		quarantine: newPartQuarantine(c.Name, opt),
 	}
 	s.scheduler = scheduler.New(schedulerConfig(c), rand.Uint64())
+	if opt.LearnLimits {
+		s.learner = newLimitLearner(s)
+		s.scheduler.SetLimits(s.learner.learner)
+	}
 	return s
 }
 
@@ -130,6 +136,7 @@
 		endpoints = append(endpoints, scheduler.Endpoint{Name: e.Name, Slots: max(slots, 1), Usable: s.isUsable(e)})
 	}
 	s.scheduler.SetEndpoints(endpoints)
+	s.learner.setEndpoints(endpoints)
 	s.applyShare()
 	for name, until := range s.backoffs {
 		s.scheduler.BackOff(name, until)
@@ -150,6 +157,9 @@
 	request      *scheduler.Request
 	started      time.Duration
 	answered     bool
+	// concurrent is the number of the entry's requests at the endpoint when this one started.
+	concurrent int
+	pauses     pauseMeter
 }
 
 // Acquire waits until the request may be sent to an endpoint. If the request has to wait,
@@ -192,7 +202,7 @@
 	}
 	return &Slot{
 		Backend: b, Decision: d, LoadsAge: time.Since(s.peerLoadsAt), registration: b.Endpoint().RegistrationRevision,
-		service: s, request: &item.Request, started: s.now(),
+		service: s, request: &item.Request, started: s.now(), concurrent: s.scheduler.OwnLoad(b.Name).Running,
 	}, d
 }
 
@@ -247,7 +257,11 @@
 }
 
 // RecordEvent records an event of a stream.
-func (x *Slot) RecordEvent() { x.service.lastEvent.Store(int64(x.service.now())) }
+func (x *Slot) RecordEvent() {
+	now := x.service.now()
+	x.service.lastEvent.Store(int64(now))
+	x.recordPause(now)
+}
 
 // Release frees the slot. It must be called exactly once.
 func (x *Slot) Release(o Outcome) {
@@ -256,6 +270,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.learner.observeEnd(x, o, now)
 	s.scheduler.RecordEnd(x.Backend.Name, x.request, x.answered, now-x.started, now)
 	if o == Succeeded {
 		s.durations.add(now - x.started)
@@ -370,6 +385,7 @@
 		s.scheduler.SetSlowdown(name, r.Slowdown)
 		if r.Group != "" {
 			s.scheduler.SetGroup(name, r.Group)
+			s.learner.setGroup(name, r.Group)
 			s.logBreakerChange(name, "group made progress", func() { s.scheduler.RecordGroupProgress(r.Group, r.ProgressAt.Sub(s.start)) })
 		}
 		down = down && r.GroupDown
@@ -388,7 +404,7 @@
 }
 
 // setPeerLoads replaces the loads that other entries cause at the endpoints.
-func (s *Service) setPeerLoads(loads loadsByHash, receivedAt time.Time) {
+func (s *Service) setPeerLoads(loads loadsByHash, learnt peersLearnt, receivedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if receivedAt.After(s.peerLoadsAt) {
@@ -398,6 +414,7 @@
 	for i, name := range names {
 		s.scheduler.SetPeerLoad(name, loads[hashes[i]])
 	}
+	s.learner.setPeers(names, hashes, loads, learnt)
 	s.dispatch()
 }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -79,6 +79,8 @@
 	MaxConfigDelay time.Duration
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
+	// LearnedLimits turns on learnt limits and speeds of endpoints.
+	LearnedLimits bool
 }
 
 const defaultMaxConfigDelay = 2 * time.Second
@@ -187,7 +189,7 @@
 		return nil, err
 	}
 	e.handler = direct.NewHandler(direct.Options{
-		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
+		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget, LearnLimits: cfg.LearnedLimits,
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
