--- a/balance/scheduler/rank_test.go
+++ b/balance/scheduler/rank_test.go
@@ -51,11 +51,11 @@
 }
 
 const (
-	modelEndpoints = 32
-	modelSlots     = 10
-	modelDuration  = 1400 * ms
-	modelDeadline  = 8 * time.Second
-	modelExchange  = 120 * ms
+	contentionEndpoints = 32
+	contentionSlots     = 10
+	modelDuration       = 1400 * ms
+	modelDeadline       = 8 * time.Second
+	modelExchange       = 120 * ms
 )
 
 type served struct{ requests, served, late int }
@@ -93,10 +93,10 @@
 		m: m, rng: rand.New(rand.NewPCG(seed, 5)), factor: make([]float64, len(m.classes)), hotTeam: 1,
 		classes: make([]served, len(m.classes)), teams: make([]served, max(m.teams, 1)),
 	}
-	list := make([]Endpoint, modelEndpoints)
+	list := make([]Endpoint, contentionEndpoints)
 	for i := range list {
 		x.names = append(x.names, id.Endpoint(fmt.Sprintf("e%02d", i)))
-		list[i] = Endpoint{Name: x.names[i], Slots: modelSlots, Usable: true}
+		list[i] = Endpoint{Name: x.names[i], Slots: contentionSlots, Usable: true}
 	}
 	for i := range m.entries {
 		s := New(Config{RequestDuration: modelDuration}, seed*100+uint64(i))
@@ -250,8 +250,8 @@
 		}
 	}
 	loss := map[time.Duration]func(*contentionRun){
-		5 * second:  func(x *contentionRun) { x.setUsable(modelEndpoints / 2) },
-		12 * second: func(x *contentionRun) { x.setUsable(modelEndpoints) },
+		5 * second:  func(x *contentionRun) { x.setUsable(contentionEndpoints / 2) },
+		12 * second: func(x *contentionRun) { x.setUsable(contentionEndpoints) },
 	}
 	cases := map[string]contentionModel{
 		"load at the capacity":             {entries: 15},
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -52,6 +52,8 @@
 	// ranked is true if requests compete by rank, as contention decides.
 	ranked     bool
 	contention contention
+	// limits is nil if no limits are learnt.
+	limits Limits
 }
 
 type endpoint struct {
@@ -254,7 +256,7 @@
 	sum := 0
 	for _, e := range s.endpoints {
 		if e.accepts(now) && !s.inUnreachableZone(e) {
-			sum += s.coldStarts(e, max(e.Slots+s.cfg.Overcommit-e.ownLoad.Running-e.peerLoad.Running, 0), now)
+			sum += s.coldStarts(e, max(s.limit(e, now)-e.ownLoad.Running-e.peerLoad.Running, 0), now)
 		}
 	}
 	return sum
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -41,7 +41,9 @@
 	Source netip.Addr
 	// AwaitEvacuated keeps requests from all endpoints until SetEvacuated is called.
 	AwaitEvacuated bool
-	Log            zerolog.Logger
+	// LearnLimits turns on learnt limits and speeds of endpoints.
+	LearnLimits bool
+	Log         zerolog.Logger
 	// Metrics receives counters and histograms. Default: a new set.
 	Metrics *metrics.Set
 }
--- a/entry/direct/loads.go
+++ b/entry/direct/loads.go
@@ -33,8 +33,12 @@
 	// Loads has endpointLoadBytes for each endpoint with requests. The keys 1 to 3 were used by
 	// a former encoding.
 	Loads []byte `cbor:"4,keyasint"`
+	// Learnt has learntReportBytes for each endpoint that differs.
+	Learnt []byte `cbor:"5,keyasint,omitempty"`
+	// UsualMicros is the time of an answer that the sender takes for the usual one, zero if unknown.
+	UsualMicros uint32 `cbor:"6,keyasint,omitempty"`
 	// Waiting counts the waiting requests by rank, in a service whose requests compete by rank.
-	Waiting []waitingRequests `cbor:"5,keyasint,omitempty"`
+	Waiting []waitingRequests `cbor:"7,keyasint,omitempty"`
 }
 
 // waitingRequests is a number of waiting requests of one rank.
@@ -157,10 +161,11 @@
 				}
 			}
 		}
-		if len(sum) > 0 || len(waiting) > 0 {
-			loads := sum.encode()
-			loads.Waiting = encodeWaiting(waiting)
-			out[name] = loads
+		encoded := sum.encode()
+		encoded.Learnt, encoded.UsualMicros = l.learntLocked(name, s, of)
+		encoded.Waiting = encodeWaiting(waiting)
+		if len(encoded.Loads) > 0 || len(encoded.Learnt) > 0 || encoded.UsualMicros > 0 || len(waiting) > 0 {
+			out[name] = encoded
 		}
 	}
 	return cbor.Marshal(out)
@@ -242,6 +247,7 @@
 func (l *LoadExchange) applyLocked() {
 	for name, s := range l.handler.Services() {
 		sum, waiting := make(loadsByHash), make(map[scheduler.Rank]int)
+		learnt := peersLearnt{sources: len(l.sources), reports: make(learntByHash)}
 		var latest time.Time
 		for _, x := range l.sources {
 			if x.at.After(latest) {
@@ -251,8 +257,10 @@
 			if !x.waitingExpired {
 				x.services[name].addWaiting(waiting)
 			}
+			x.services[name].addLearntTo(learnt.reports)
+			learnt.usual = append(learnt.usual, x.services[name].usual())
 		}
-		s.setPeerLoads(sum, waiting, latest)
+		s.setPeerLoads(sum, waiting, learnt, latest)
 	}
 }
 
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -91,6 +91,8 @@
 	ColdOverage, ColdSlack float64
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
+	// LearnedLimits turns on learnt limits and speeds of endpoints.
+	LearnedLimits bool
 }
 
 const defaultMaxConfigDelay = 2 * time.Second
@@ -212,7 +214,7 @@
 	}
 	e.handler = direct.NewHandler(direct.Options{
 		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
-		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, AwaitEvacuated: e.evacuationsInUse(),
+		ColdOverage: cfg.ColdOverage, ColdSlack: cfg.ColdSlack, AwaitEvacuated: e.evacuationsInUse(), LearnLimits: cfg.LearnedLimits,
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.onEndpoints, onChange: e.mesh.NotifyChange}
