Account for what an entry holds for its clients, and end the connections that stall when it runs out

Cause: bodies, parsed heads, answers and connections had no bound for the process. Ruled out: reserving stated lengths (a client that states and does not send fills the account); a minimum rate for all (refuses slow clients while memory is free); closing newcomers at a full listener (a crowd shuts out ordinary callers). Change: entry/intake accounts for bytes and descriptors by memoryMb and maxFds. A body is accounted for before its buffer grows, refused with 503 and a Retry-After if there is no room, and with 413 before it is read if its stated length is over the limit. Heads are limited by maxHeaderBytes and charged by their fields. The runtime's soft limit is three quarters of memoryMb.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/routes"
 	"github.com/siskinford/siskinford/entry/upstream"
 )
@@ -139,7 +140,7 @@
 	x, err := slot.Backend.Pool.Do(ctx, out, fresh)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, intake.ErrDescriptors) {
 			q.service.MarkUnreachable(slot.Backend.Name)
 		}
 		return nil, err
--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -132,25 +132,26 @@
 type bodyBound struct {
 	rc *http.ResponseController
 
-	mu         sync.Mutex
-	done, late bool
+	mu    sync.Mutex
+	done  bool
+	cause error // why the reading was ended; nil if it was not
 }
 
 // expire ends the reading, unless the body is complete.
-func (b *bodyBound) expire() {
+func (b *bodyBound) expire(cause error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.done {
+	if b.done || b.cause != nil {
 		return
 	}
-	b.late = true
+	b.cause = cause
 	_ = b.rc.SetReadDeadline(time.Now()) // It fails only if the connection is closed.
 }
 
-// complete reports whether the body was read in time.
-func (b *bodyBound) complete() bool {
+// complete ends the bound and returns why the reading was ended, nil if the body was read in time.
+func (b *bodyBound) complete() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.done = true
-	return !b.late
+	return b.cause
 }
--- a/entry/direct/endpoints.go
+++ b/entry/direct/endpoints.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
@@ -54,12 +55,24 @@
 	mu       sync.RWMutex // locked before Backend.mu
 	backends map[id.Endpoint]*Backend
 	services map[id.Service][]*Backend
-	source   netip.Addr
+	gate     *intake.Gate
 }
 
-// NewDirectory returns an empty directory. Connections are opened from source if valid.
-func NewDirectory(source netip.Addr) *Directory {
-	return &Directory{backends: make(map[id.Endpoint]*Backend), services: make(map[id.Service][]*Backend), source: source}
+// NewDirectory returns an empty directory. Connections are opened from source if valid, and within the limits of
+// the account, which may be nil.
+func NewDirectory(source netip.Addr, a *intake.Account) *Directory {
+	d := &Directory{backends: make(map[id.Endpoint]*Backend), services: make(map[id.Service][]*Backend)}
+	d.gate = a.NewGate(upstream.TCPDialer(source), d.closeIdle)
+	return d
+}
+
+// closeIdle closes the idle connections to all endpoints.
+func (d *Directory) closeIdle() {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, b := range d.backends {
+		b.Pool.CloseIdle()
+	}
 }
 
 // Set replaces the endpoints. Backends whose address and service are unchanged keep their
@@ -102,7 +115,7 @@
 func (d *Directory) reuseOrNewBackend(e Endpoint) *Backend {
 	b := d.backends[e.Name]
 	if b == nil || b.Endpoint().Address != e.Address || b.Endpoint().Service != e.Service {
-		return &Backend{Name: e.Name, endpoint: e, Pool: upstream.NewPool(upstream.Config{Address: e.Address, Dial: upstream.TCPDialer(d.source)})}
+		return &Backend{Name: e.Name, endpoint: e, Pool: upstream.NewPool(upstream.Config{Address: e.Address, Dial: d.gate.Dial})}
 	}
 	b.mu.Lock()
 	b.endpoint = e
--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/siskinford/siskinford/entry/intake"
 )
 
 // maxEventBytes bounds a single event.
@@ -18,15 +20,42 @@
 type eventReader struct {
 	br  *bufio.Reader
 	buf []byte
+	// conn is the client's connection, which may be nil. held are the bytes accounted for there.
+	conn *intake.Conn
+	held int
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, 4<<10)}
+// eventStep is the size of the steps in which long events are accounted for. Shorter events are part of what every
+// connection takes.
+const eventStep = 64 << 10
+
+func newEventReader(r io.Reader, conn *intake.Conn) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, 4<<10), conn: conn}
+}
+
+// account holds the bytes of the buffer beyond the first step. It reports whether there is room.
+func (r *eventReader) account() bool {
+	for len(r.buf)-r.held > eventStep {
+		if !r.conn.Acquire(eventStep) {
+			return false
+		}
+		r.held += eventStep
+	}
+	return true
+}
+
+// release ends the holding of a long event, whose buffer is given up too.
+func (r *eventReader) release() {
+	if r.held > 0 {
+		r.conn.Release(int64(r.held))
+		r.buf, r.held = nil, 0
+	}
 }
 
 // next returns the next event including its blank line, and its ID, empty if absent. The
 // bytes are valid until the next call. A complete stream ends with io.EOF.
 func (r *eventReader) next() (event []byte, eventID string, err error) {
+	r.release()
 	r.buf = r.buf[:0]
 	for {
 		line, err := r.br.ReadSlice('\n')
@@ -35,6 +64,8 @@
 		switch {
 		case len(r.buf) > maxEventBytes:
 			return nil, "", errors.Newf("event exceeds %d bytes", maxEventBytes)
+		case !r.account():
+			return nil, "", errNoMemory
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF && len(r.buf) > 0:
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -10,13 +9,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/siskinford/siskinford/balance/quarantine"
 	"github.com/siskinford/siskinford/balance/retry"
 	"github.com/siskinford/siskinford/balance/scheduler"
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/routes"
 )
 
@@ -35,6 +34,8 @@
 	// Source is the local address for connections to endpoints. Default: chosen by the
 	// operating system.
 	Source netip.Addr
+	// Intake bounds the connections to endpoints. Default: no bound.
+	Intake *intake.Account
 	Log    zerolog.Logger
 	// Metrics receives counters and histograms. Default: a new set.
 	Metrics *metrics.Set
@@ -57,7 +58,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	return &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source), services: make(map[id.Service]*Service), drain: newDrain()}
+	return &Handler{opt: o, requestLog: requestLog{log: o.Log, set: o.Metrics}, directory: NewDirectory(o.Source, o.Intake), services: make(map[id.Service]*Service), drain: newDrain()}
 }
 
 // SetTable applies a version of the configuration.
@@ -132,7 +133,9 @@
 	host    string
 	header  http.Header
 	body    []byte
-	began   time.Time
+	// conn accounts for what the request holds. It may be nil.
+	conn  *intake.Conn
+	began time.Time
 	// deadline is the earlier of the client's and the route's deadline.
 	deadline time.Time
 	// sent is the number of endpoints that may have received the request.
@@ -211,7 +214,7 @@
 	q := &request{
 		info: info, route: route, service: service, team: team, version: table.Version(), method: r.Method, target: r.RequestURI,
 		host: r.Host, header: endToEndHeader(r.Header), began: began, deadline: began.Add(requestTimeout(info, route)),
-		parts: quarantine.Parts(info.SharedParts),
+		parts: quarantine.Parts(info.SharedParts), conn: intake.FromContext(r.Context()),
 	}
 	if q.body, err = h.readBody(w, r, table.Limits().MaxBodyBytes, q); err != nil {
 		h.bodyError(w, r, info, err)
@@ -231,70 +234,6 @@
 	return timeout
 }
 
-// readBody reads the body of a client's request within the request's time, and while it may still be
-// sent to an endpoint.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, q *request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	bound := &bodyBound{rc: http.NewResponseController(w)}
-	timer := time.AfterFunc(time.Until(q.deadline), bound.expire)
-	defer timer.Stop()
-	defer context.AfterFunc(h.drain.begun, func() {
-		if last := h.drain.lastStart(q); last.Before(q.deadline) {
-			timer.Reset(time.Until(last))
-		}
-	})()
-	body := io.Reader(r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(serverWriter(w), r.Body, limit)
-	}
-	b, err := io.ReadAll(body)
-	if !bound.complete() {
-		return nil, errBodyLate
-	}
-	return b, err
-}
-
-// serverWriter returns the server's own writer, by which http.MaxBytesReader has the connection
-// closed in good order.
-func serverWriter(w http.ResponseWriter) http.ResponseWriter {
-	for {
-		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
-		if !ok {
-			return w
-		}
-		w = u.Unwrap()
-	}
-}
-
-func (h *Handler) bodyError(w http.ResponseWriter, r *http.Request, info RequestInfo, err error) {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		h.reject(w, r, info, http.StatusRequestEntityTooLarge, "the body is too large")
-		return
-	}
-	if !errors.Is(err, errBodyLate) {
-		panic(http.ErrAbortHandler) // The client disconnected.
-	}
-	status, text := http.StatusRequestTimeout, errBodyLate.Error()
-	if h.drain.isBegun() {
-		status, text = http.StatusServiceUnavailable, string(reasonStopping)
-	}
-	// The rest of the body may still be on its way. A connection that is closed before it is read
-	// is reset, and the client may never see the answer.
-	rc := http.NewResponseController(w)
-	w.Header().Set("Connection", "close")
-	_ = rc.EnableFullDuplex() // Supported by HTTP/1.
-	h.reject(w, r, info, status, text)
-	if rc.Flush() == nil && rc.SetReadDeadline(time.Now().Add(unreadBodyTime)) == nil {
-		_, _ = io.Copy(io.Discard, r.Body) // Nobody needs it.
-	}
-}
-
-// unreadBodyTime is the time for which the entry goes on reading a body that it does not need.
-const unreadBodyTime = 300 * time.Millisecond
-
 // teamName returns the name of the request's team, empty on public routes.
 func (q *request) teamName() id.Team {
 	if q.team == nil {
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -166,6 +166,8 @@
 		if errors.Is(err, errStreamSilent) {
 			outcome = Hung
 		}
+	case errors.Is(err, errNoMemory):
+		// It says nothing about the endpoint.
 	default:
 		outcome = Failed
 		h.recordLoss(ctx, q, slot, p, err)
@@ -212,7 +214,8 @@
 
 // copyEvents forwards the events of one attempt.
 func (h *Handler) copyEvents(q *request, s *streamWriter, x *upstream.Exchange, slot *Slot, p *progress, watchdog *silenceWatchdog) error {
-	events := newEventReader(x.Body())
+	events := newEventReader(x.Body(), q.conn)
+	defer events.release()
 	for {
 		event, eventID, err := events.next()
 		if err == io.EOF {
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -265,7 +265,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := newEventReader(strings.NewReader(c.in))
+			r := newEventReader(strings.NewReader(c.in), nil)
 			for i, want := range c.events {
 				got, eventID, err := r.next()
 				assert.NilError(t, err)
--- a/entry/direct/wholebody.go
+++ b/entry/direct/wholebody.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/routes"
 	"github.com/siskinford/siskinford/entry/upstream"
 )
@@ -34,11 +34,14 @@
 		x.Drain(maxRefusalBytes, refusalBodyTimeout) // The head is the refusal.
 		return resp, Neutral, nil
 	}
-	resp.body, err = readLimited(x, maxBufferedBytes)
+	resp.body, err = readLimited(x, q.conn, maxBufferedBytes)
 	if err != nil && ctx.Err() != nil {
 		err = context.Cause(ctx)
 		return nil, outcomeOf(err), err
 	}
+	if errors.Is(err, errNoMemory) {
+		return nil, Neutral, err // It says nothing about the endpoint.
+	}
 	if err != nil && !errors.Is(err, errResponseTooLarge) {
 		h.recordLoss(ctx, q, slot, p, err)
 		return nil, Failed, errors.Wrap(err, "answer broke off")
@@ -68,14 +71,17 @@
 	return Failed
 }
 
-// readLimited reads a body of at most limit bytes.
-func readLimited(x *upstream.Exchange, limit int64) ([]byte, error) {
-	if x.HasBody() && x.Response.ContentLength > limit {
-		return nil, errResponseTooLarge
+// readLimited reads a body of at most limit bytes, which are accounted for at the client's connection.
+func readLimited(x *upstream.Exchange, conn *intake.Conn, limit int64) ([]byte, error) {
+	length := int64(-1)
+	if x.HasBody() {
+		if length = x.Response.ContentLength; length > limit {
+			return nil, errResponseTooLarge
+		}
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Body(), limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errResponseTooLarge
+	body, err := readAccounted(x.Body(), conn, length, limit)
+	if errors.Is(err, errBodyTooLarge) {
+		err = errResponseTooLarge
 	}
 	return body, err
 }
--- a/entry/edge/clients.go
+++ b/entry/edge/clients.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/routes"
 )
 
@@ -20,6 +21,7 @@
 	log      zerolog.Logger
 	draining atomic.Bool
 	limits   atomic.Pointer[routes.Limits]
+	listener atomic.Pointer[intake.Listener]
 
 	mu    sync.Mutex             // leaf lock
 	conns map[net.Conn]time.Time // when each became idle; zero while active
@@ -29,14 +31,17 @@
 	// defaultHeaderTimeout and defaultIdleTimeout apply until a configuration is in force.
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	// defaultMaxHeadBytes applies until then, and to readiness checks, operators and collectors.
+	defaultMaxHeadBytes = 16 << 10
 )
 
 func newClientServer(h http.Handler, log zerolog.Logger) *clientServer {
 	c := &clientServer{log: log, conns: make(map[net.Conn]time.Time)}
-	c.limits.Store(&routes.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	c.limits.Store(&routes.Limits{MaxHeaderBytes: defaultMaxHeadBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
 	c.server = &http.Server{
-		Handler:   c.wrap(h),
-		ConnState: c.track,
+		Handler:     c.wrap(h),
+		ConnState:   c.track,
+		ConnContext: intake.WithConn,
 		// sweep enforces the idle timeout, because it may change at run time.
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       -1,
@@ -47,13 +52,25 @@
 
 // setLimits brings the limits of a configuration into force. ReadHeaderTimeout stays
 // at its default.
-func (c *clientServer) setLimits(l routes.Limits) { c.limits.Store(&l) }
+func (c *clientServer) setLimits(l routes.Limits) {
+	c.limits.Store(&l)
+	if listener := c.listener.Load(); listener != nil {
+		listener.SetMaxHead(int64(l.MaxHeaderBytes))
+	}
+}
+
+// listen has the server's connections come from a listener.
+func (c *clientServer) listen(l *intake.Listener) {
+	c.listener.Store(l)
+	l.SetMaxHead(defaultMaxHeadBytes)
+	c.setLimits(*c.limits.Load())
+}
 
 // wrap makes all responses announce the idle timeout, or while draining the end of the connection.
 func (c *clientServer) wrap(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return account(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.ServeHTTP(&announcer{ResponseWriter: w, server: c}, r)
-	})
+	}))
 }
 
 // announcer announces what becomes of the connection when the header of a response is written.
@@ -85,12 +102,15 @@
 	a.done = true
 	if a.server.draining.Load() {
 		a.Header().Set("Connection", "close")
+	} else if a.Header().Get("Connection") == "close" {
+		return // Others wait for the connection's place, or the rest of the request is not read.
 	} else if idle := a.server.limits.Load().IdleTimeout; idle >= time.Second {
 		a.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(idle/time.Second)))
 	}
 }
 
 func (c *clientServer) track(conn net.Conn, s http.ConnState) {
+	notePhase(conn, s)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
--- a/entry/edge/control.go
+++ b/entry/edge/control.go
@@ -2,16 +2,15 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
 	"github.com/siskinford/siskinford/balance/quarantine"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/core/ops"
+	"github.com/siskinford/siskinford/entry/intake"
 )
 
 // controlHeaderTimeout bounds the time to read the header of an operator's request.
@@ -23,20 +22,20 @@
 	e.registerGauges()
 	e.controlServer = e.newControlServer(func(r chi.Router) { r.Route("/quarantine", e.addQuarantineRoutes) })
 	e.metricsServer = e.newControlServer(func(chi.Router) {})
-	if err := e.listenControl(e.controlServer, e.cfg.ControlListen); err != nil {
+	if err := e.listenControl(e.controlServer, e.cfg.ControlListen, intake.Operators); err != nil {
 		return err
 	}
-	return e.listenControl(e.metricsServer, e.cfg.MetricsListen)
+	return e.listenControl(e.metricsServer, e.cfg.MetricsListen, intake.Collector)
 }
 
 // listenControl serves at an address, unless it is empty.
-func (e *Edge) listenControl(s *http.Server, address string) error {
+func (e *Edge) listenControl(s *http.Server, address string, kind intake.Kind) error {
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := e.listen(address, kind)
 	if err != nil {
-		return errors.Wrap(err, "listen for operators")
+		return err
 	}
 	go e.serve(s, l)
 	return nil
@@ -46,7 +45,7 @@
 	r := chi.NewRouter()
 	ops.AddRoutes(r, e.set, e.notReady)
 	add(r)
-	return &http.Server{Handler: r, ReadHeaderTimeout: controlHeaderTimeout}
+	return accountServer(&http.Server{Handler: r, ReadHeaderTimeout: controlHeaderTimeout, IdleTimeout: readyIdleTimeout})
 }
 
 // addQuarantineRoutes adds the routes to list, block and free parts of prompts:
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/entry/direct"
+	"github.com/siskinford/siskinford/entry/intake"
 	"github.com/siskinford/siskinford/entry/peer"
 	"github.com/siskinford/siskinford/entry/routes"
 	"github.com/siskinford/siskinford/fleet/mesh"
@@ -77,6 +78,10 @@
 	StoreAddress string
 	// MaxConfigDelay is the time within which a new configuration must be in force. Default: 2 s.
 	MaxConfigDelay time.Duration
+	// MemoryBytes is the memory of the host, and MaxDescriptors the number of descriptors that the process may open.
+	// Both bound what is held for clients. Zero means no limit.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// RetryBudget is each service's budget over all entries. The window length is required.
 	RetryBudget retry.WindowConfig
 }
@@ -114,6 +119,7 @@
 	set     *metrics.Set
 	self    mesh.Member
 	store   *objectapi.Client
+	intake  *intake.Account
 	values  values
 	handler *direct.Handler
 	loads   *direct.LoadExchange
@@ -167,6 +173,7 @@
 		cfg.AdvertiseAddress = cfg.PeerListen
 	}
 	e := &Edge{cfg: cfg, adapter: a, log: log, set: set}
+	e.intake = intake.New(intake.Config{MemoryBytes: cfg.MemoryBytes, MaxDescriptors: cfg.MaxDescriptors, Log: log, Metrics: set})
 	var err error
 	e.store, err = objectapi.NewClient(objectapi.ClientConfig{
 		BaseURL: "http://" + cfg.StoreAddress, Caller: string(cfg.Host), Protocol: a.Protocol,
@@ -187,14 +194,14 @@
 		return nil, err
 	}
 	e.handler = direct.NewHandler(direct.Options{
-		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
+		Codec: a.Codec, Host: cfg.Host, OnQuarantineChange: e.mesh.NotifyChange, Entries: e.mesh.MemberCount, Source: cfg.Source, Intake: e.intake, Log: log, Metrics: e.set, Retries: cfg.RetryBudget,
 	})
 	e.loads = direct.NewLoadExchange(e.handler, e.mesh.Interval)
 	e.values = values{adapter: a, log: log, onConfig: e.onConfig, onEndpoints: e.handler.SetEndpoints, onChange: e.mesh.NotifyChange}
 	e.watchers = e.newWatchers()
 	e.groups = groupManager{edge: e, services: make(map[id.Service]*groupedService)}
 	e.clients = newClientServer(e.handler, log)
-	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), IdleTimeout: readyIdleTimeout, ReadHeaderTimeout: readyIdleTimeout}
+	e.readyServer = accountServer(&http.Server{Handler: http.HandlerFunc(e.serveReady), IdleTimeout: readyIdleTimeout, ReadHeaderTimeout: readyIdleTimeout})
 	return e, nil
 }
 
@@ -271,13 +278,15 @@
 // Start implements process.Daemon.
 func (e *Edge) Start() error {
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	clients, err := net.Listen("tcp", e.cfg.ClientListen)
+	limitMemory(e.cfg.MemoryBytes)
+	clients, err := e.listen(e.cfg.ClientListen, intake.Clients)
 	if err != nil {
-		return errors.Wrap(err, "listen for clients")
+		return err
 	}
-	ready, err := net.Listen("tcp", e.cfg.ReadinessListen)
+	e.clients.listen(clients)
+	ready, err := e.listen(e.cfg.ReadinessListen, intake.Readiness)
 	if err != nil {
-		return errors.Wrap(err, "listen for readiness checks")
+		return err
 	}
 	if err := e.listenPeers(); err != nil {
 		return err
@@ -333,6 +342,7 @@
 			e.handler.Directory().CloseExpired(now)
 			e.handler.SetEntries(e.mesh.Hosts(), e.cfg.Host)
 			e.clients.sweep(now)
+			e.intake.Sweep(now)
 		}
 	}
 }
