Bound the connections, the long lines and the orders of a relay

Cause: a relay buffered lines of 1 MiB for any number of connections. Ruled out: the account of entry/intake, whose requests and phases a relay does not have; it stays free of net/http. Change: a quarter of maxFds for connections, a sixteenth of memoryMb for lines beyond 64 KiB, 64 orders in progress for each connection. When full, the connection goes that was silent for longest, of those without a message if there are any.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -4,10 +4,10 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -44,6 +44,7 @@
 	newClient func(address string) relay.Engine
 	// Report logs an event for operators. It must not block.
 	Report func(event string, err error)
+	intake *intake
 
 	mu      sync.Mutex // leaf lock
 	clients map[string]relay.Engine
@@ -55,8 +56,8 @@
 
 // New returns a server for an engine. Orders with an address are sent through the client
 // that newClient returns for it.
-func New(e relay.Engine, newClient func(address string) relay.Engine, report func(event string, err error)) *Server {
-	return &Server{engine: e, newClient: newClient, clients: make(map[string]relay.Engine), Report: report}
+func New(e relay.Engine, newClient func(address string) relay.Engine, limits Limits, report func(event string, err error)) *Server {
+	return &Server{engine: e, newClient: newClient, clients: make(map[string]relay.Engine), intake: newIntake(limits), Report: report}
 }
 
 // Listen accepts connections at an address until ctx ends. Then it reads no more orders, and returns
@@ -80,6 +81,11 @@
 			}
 			return err
 		}
+		if victim := s.intake.add(c, time.Now()); victim != nil {
+			_ = victim.Close()
+			s.Report("entry.displaced", nil)
+			time.Sleep(acceptInterval)
+		}
 		sessions.Go(func() { s.serve(ctx, c) })
 	}
 }
@@ -94,17 +100,19 @@
 	watches chan relay.Watch
 	// ordered signals the sampler that an order was received.
 	ordered chan struct{}
-	// orders counts the orders whose result has not been sent.
+	// orders counts the orders whose result has not been sent, places bounds them.
 	orders sync.WaitGroup
+	places chan struct{}
 }
 
 func (s *Server) serve(stop context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
+	defer s.intake.remove(c)
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(stop, func() { _ = c.SetReadDeadline(time.Now()) })() // Fails if closed.
 	s.Report("entry.connected", nil)
-	x := &session{server: s, conn: c, watches: make(chan relay.Watch, 1), ordered: make(chan struct{}, 1)}
+	x := &session{server: s, conn: c, watches: make(chan relay.Watch, 1), ordered: make(chan struct{}, 1), places: make(chan struct{}, maxOrders)}
 	go x.runSampler(ctx)
 	err := x.readMessages(ctx)
 	if stop.Err() != nil {
@@ -115,20 +123,32 @@
 
 // readMessages handles messages until the connection ends.
 func (x *session) readMessages(ctx context.Context) error {
-	lines := bufio.NewScanner(x.conn)
-	lines.Buffer(make([]byte, 0, 2048), maxLineBytes)
-	for lines.Scan() {
+	lines := newLineReader(x.conn, x.server.intake)
+	defer lines.release()
+	for {
+		line, err := lines.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 		var m relay.ToRelay
-		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+		if err := json.Unmarshal(line, &m); err != nil {
 			return err
 		}
+		x.server.intake.note(x.conn, time.Now())
 		switch {
 		case m.Order != nil:
 			select {
 			case x.ordered <- struct{}{}:
 			default: // A signal is already pending.
 			}
-			x.orders.Go(func() { x.handleOrder(ctx, *m.Order) })
+			x.places <- struct{}{} // Orders are bounded by callTimeout.
+			x.orders.Go(func() {
+				defer func() { <-x.places }()
+				x.handleOrder(ctx, *m.Order)
+			})
 		case m.Watch != nil:
 			select {
 			case <-x.watches: // Replace an earlier watch that the sampler has not received.
@@ -137,7 +157,6 @@
 			x.watches <- *m.Watch
 		}
 	}
-	return lines.Err()
 }
 
 func (x *session) handleOrder(ctx context.Context, o relay.Order) {
--- a/cmd/siskinford-relay/main.go
+++ b/cmd/siskinford-relay/main.go
@@ -40,7 +40,8 @@
 	address := netip.AddrPortFrom(s.IP, s.InternalPorts[0]).String()
 	log.Info().Str("event", "process.started").Str("address", address).Str("engine", s.ReplicaAddress).Msg("relay started")
 	newEngine := func(address string) wire.Engine { return replica.New(address) }
-	server := relay.New(replica.New(s.ReplicaAddress), newEngine, func(event string, err error) {
+	limits := relay.Limits{MemoryBytes: s.MemoryLimitBytes, MaxDescriptors: s.MaxOpenFiles}
+	server := relay.New(replica.New(s.ReplicaAddress), newEngine, limits, func(event string, err error) {
 		log.Info().Err(err).Str("event", event).Send()
 	})
 	if err := server.Listen(ctx, address); err != nil {
