Deliver the answer to a stream that ends without an event, however late the process comes to it

Cause: the write deadline of a stream is its request's deadline and 400 ms. A process without processor time for that long wrote the answer after it, and the client got EOF without a byte. TestBytesWithoutEndSpareOtherClients saw that once beside load ("empty-events: 0 bytes, EOF"); TestTimedOutRequestIsAnswered ("stream, no answer: EOF") saw it at a load of 50. Ruled out: a header that was set and not flushed, since an event's header is flushed with the event and the end of a stream with its handler; a longer deadline for events, which would let a slow reader hold its stream. Change: an answer in place of a stream has 5 s from when it is written. Measured: TestAnswerAfterDelayIsWritten, with a log line that takes 600 ms, got EOF before and passes.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -16,9 +16,13 @@
 )
 
 // finalAnswerTime is the time for which a client that reads slowly may delay the end of its stream
-// beyond the deadline. The answer to a stream that was still waiting then is written in it.
+// beyond the deadline.
 const finalAnswerTime = 400 * time.Millisecond
 
+// wholeAnswerTime bounds the write of an answer in place of a stream of which no event was sent. It is far beyond
+// finalAnswerTime because a process without processor time comes late to the answer, and then has to deliver it.
+const wholeAnswerTime = 5 * time.Second
+
 var errStreamSilent = errors.New("the stream fell silent while others go on")
 
 // clientGoneError reports that writing to the client failed.
@@ -93,6 +97,7 @@
 		h.requestLog.broken(q, s, scheduler.Decision{}, errQuarantined)
 		panic(http.ErrAbortHandler)
 	}
+	s.allowWholeAnswer()
 	h.endQuarantined(w, q, v)
 }
 
@@ -110,13 +115,15 @@
 // endStream ends a stream that cannot be completed. If it has begun, the connection is
 // aborted so that the client notices.
 func (h *Handler) endStream(ctx context.Context, w http.ResponseWriter, q *request, s *streamWriter, d scheduler.Decision, resp *response, err error) {
-	switch {
-	case s.headerSent:
+	if s.headerSent {
 		if errors.Is(context.Cause(ctx), errStopping) {
 			h.drain.countCutOff()
 		}
 		h.requestLog.broken(q, s, d, err)
 		panic(http.ErrAbortHandler)
+	}
+	s.allowWholeAnswer()
+	switch {
 	case ctx.Err() != nil:
 		h.endExpired(ctx, w, q)
 	case d.Reason != "" && q.sent == q.refused:
@@ -270,6 +277,11 @@
 	return s.rc.Flush()
 }
 
+// allowWholeAnswer gives an answer in place of the stream the time to be written.
+func (s *streamWriter) allowWholeAnswer() {
+	_ = s.rc.SetWriteDeadline(time.Now().Add(wholeAnswerTime)) // It fails only if the connection is closed.
+}
+
 // sendHeader sends the header of the first attempt that has one.
 func (s *streamWriter) sendHeader(x *upstream.Exchange) {
 	if s.headerSent {
--- a/entry/direct/timeout_test.go
+++ b/entry/direct/timeout_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/entry/routes"
@@ -155,3 +156,28 @@
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
 	assert.Assert(t, resp.Close)
 }
+
+// slowLog is a log whose lines with a given event take a time.
+type slowLog struct {
+	event string
+	delay time.Duration
+}
+
+func (l slowLog) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), l.event) {
+		time.Sleep(l.delay)
+	}
+	return len(b), nil
+}
+
+// TestAnswerAfterDelayIsWritten guards against a stream without an event whose timeout is reached while the process
+// has no processor time: the deadline of its writes passed before the answer, and the connection was closed without it.
+func TestAnswerAfterDelayIsWritten(t *testing.T) {
+	route := kinds["stream"]
+	route.Timeout = 300 * time.Millisecond
+	e := newEntry(t, route, newBackend(t, "a", hang))
+	e.handler.requestLog.log = zerolog.New(slowLog{event: `"request.failed"`, delay: finalAnswerTime + 200*time.Millisecond})
+	got := e.send(http.MethodPost)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusGatewayTimeout, got.body)
+}
