Test that one body of 4 MiB fits the account of the smallest host

Cause: the least account follows from the buffers of a single body, and no test said so. Change: a unit test at a host of 184 MiB and at the least account.

--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -182,3 +182,19 @@
 		assert.Assert(t, sum+ownDescriptors <= most, "%d of %d", sum, most)
 	}
 }
+
+// TestOneLargeBodyFits guards against an account so small that a single body inside the limits is refused in calm.
+func TestOneLargeBodyFits(t *testing.T) {
+	const body = 4 << 20 // maxBodyBytes of today's configuration.
+	for _, memory := range []int64{1, 184 << 20} {
+		c, _ := pipe(t, listen(t, New(Config{MemoryBytes: memory}), Clients))
+		assert.Assert(t, c.Begin(nil))
+		held := int64(0)
+		for size := int64(4 << 10); size <= body; size *= 2 {
+			assert.Assert(t, c.Acquire(size), "%d bytes", size)
+			c.Release(held)
+			held = size
+		}
+		c.End()
+	}
+}
