Relay: limits by a method, so that callers of New stay as they are

Cause: the limits were a new argument of New, and itest/maps did not build. Change: Server.SetLimits; the tests of agent/relay are as before.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -56,10 +56,13 @@
 
 // New returns a server for an engine. Orders with an address are sent through the client
 // that newClient returns for it.
-func New(e relay.Engine, newClient func(address string) relay.Engine, limits Limits, report func(event string, err error)) *Server {
-	return &Server{engine: e, newClient: newClient, clients: make(map[string]relay.Engine), intake: newIntake(limits), Report: report}
+func New(e relay.Engine, newClient func(address string) relay.Engine, report func(event string, err error)) *Server {
+	return &Server{engine: e, newClient: newClient, clients: make(map[string]relay.Engine), intake: newIntake(Limits{}), Report: report}
 }
 
+// SetLimits bounds what the server holds for its connections. It must be called before Listen. Default: no bounds.
+func (s *Server) SetLimits(l Limits) { s.intake = newIntake(l) }
+
 // Listen accepts connections at an address until ctx ends. Then it reads no more orders, and returns
 // once the entries have the results of those that it has read.
 func (s *Server) Listen(ctx context.Context, address string) error {
--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -107,7 +107,7 @@
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
-		ended <- New(e, func(string) relay.Engine { return e.other }, Limits{}, func(string, error) {}).Listen(ctx, address)
+		ended <- New(e, func(string) relay.Engine { return e.other }, func(string, error) {}).Listen(ctx, address)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/agent/relay/stop_test.go
+++ b/agent/relay/stop_test.go
@@ -41,7 +41,7 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() {
-		ended <- New(e, func(string) relay.Engine { return nil }, Limits{}, func(string, error) {}).Listen(ctx, address)
+		ended <- New(e, func(string) relay.Engine { return nil }, func(string, error) {}).Listen(ctx, address)
 	}()
 	var conn net.Conn
 	for range 100 {
--- a/cmd/siskinford-relay/main.go
+++ b/cmd/siskinford-relay/main.go
@@ -40,10 +40,10 @@
 	address := netip.AddrPortFrom(s.IP, s.InternalPorts[0]).String()
 	log.Info().Str("event", "process.started").Str("address", address).Str("engine", s.ReplicaAddress).Msg("relay started")
 	newEngine := func(address string) wire.Engine { return replica.New(address) }
-	limits := relay.Limits{MemoryBytes: s.MemoryLimitBytes, MaxDescriptors: s.MaxOpenFiles}
-	server := relay.New(replica.New(s.ReplicaAddress), newEngine, limits, func(event string, err error) {
+	server := relay.New(replica.New(s.ReplicaAddress), newEngine, func(event string, err error) {
 		log.Info().Err(err).Str("event", event).Send()
 	})
+	server.SetLimits(relay.Limits{MemoryBytes: s.MemoryLimitBytes, MaxDescriptors: s.MaxOpenFiles})
 	if err := server.Listen(ctx, address); err != nil {
 		log.Error().Err(err).Str("event", "process.failed").Msg("relay failed")
 		return exitFailure
