--- a/cmd/siskinford-relay/main.go
+++ b/cmd/siskinford-relay/main.go
@@ -43,6 +43,7 @@
 	server := relay.New(replica.New(s.ReplicaAddress), newEngine, func(event string, err error) {
 		log.Info().Err(err).Str("event", event).Send()
 	})
+	server.SetLimits(relay.Limits{MemoryBytes: s.MemoryLimitBytes, MaxDescriptors: s.MaxOpenFiles})
 	if err := server.Listen(ctx, address); err != nil {
 		log.Error().Err(err).Str("event", "process.failed").Msg("relay failed")
 		return exitFailure
--- a/entry/direct/learn_test.go
+++ b/entry/direct/learn_test.go
@@ -26,7 +26,7 @@
 	s := newService(c, NewHandler(Options{
 		Codec: testCodec{}, Entries: func() int { return 1 }, Log: zerolog.New(log), Metrics: set,
 		Retries: retry.WindowConfig{Length: time.Second}, LearnLimits: learn,
-	}).opt)
+	}).opt, evacuatedZones{})
 	var list []*Backend
 	for _, name := range []id.Endpoint{"a", "b", "c"} {
 		list = append(list, &Backend{Name: name, endpoint: Endpoint{Name: name, Service: "s", Slots: 6}})
