Models of learnt limits run in parallel

Cause: the tests of balance/scheduler took 25 s, and 184 s with -race, one after the other. Change: t.Parallel in the tests that run the model, which share nothing.

--- a/balance/scheduler/limits_test.go
+++ b/balance/scheduler/limits_test.go
@@ -371,6 +371,7 @@
 // TestSlowEndpointGetsLess guards against equal shares for an endpoint that takes three times as long: a third of
 // the requests are late there while the others have free slots.
 func TestSlowEndpointGetsLess(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitsFleets {
 		without, with := compare(t, limitsFleet(n, 300, speeds{constant(1), constant(3), constant(1)}))
 		assert.Assert(t, 1-with.good < 0.95*(1-without.good))
@@ -381,6 +382,7 @@
 // TestKneeBeforeFull guards against filling the slots of an endpoint whose requests take four times as long in
 // six slots as in three, so that it serves half as many.
 func TestKneeBeforeFull(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitsFleets {
 		without, with := compare(t, limitsFleet(n, 300, speeds{constant(1), kneeAt(3, 1), constant(1)}))
 		assert.Assert(t, 1-with.good < 0.9*(1-without.good))
@@ -393,6 +395,7 @@
 
 // TestZoneSlowerByHalf guards against equal shares if the endpoint of one of three zones takes twice as long.
 func TestZoneSlowerByHalf(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{3, 15} {
 		without, with := compare(t, limitsFleet(n, 360, speeds{constant(1), constant(1), constant(2)}))
 		assert.Assert(t, with.good > without.good+0.01)
@@ -402,6 +405,7 @@
 // TestZoneSlowerByHalfForManyEntries guards against a loss in the same case for entries that each see a fortieth of
 // the requests: those that leave the slow endpoint crowd the others, whose loads they know too late.
 func TestZoneSlowerByHalfForManyEntries(t *testing.T) {
+	t.Parallel()
 	m := limitsFleet(44, 360, speeds{constant(1), constant(1), constant(2)})
 	m.seeds = 24 // With 4, the difference was -1.1 points for seeds 1 to 4 and +3.9 for seeds 101 to 104.
 	without, with := compare(t, m)
@@ -411,6 +415,7 @@
 // TestChangeOfSpeedAtPeakLoad guards against a learner that holds on to what it learnt: at 80 % of the capacity, an endpoint
 // becomes slow at 8 s, and one that was slow becomes fast.
 func TestChangeOfSpeedAtPeakLoad(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitsFleets {
 		m := limitsFleet(n, 320, speeds{constant(1), changing(8*time.Second, constant(1), constant(3)), changing(8*time.Second, constant(3), constant(1))})
 		m.length = 20 * time.Second
@@ -425,6 +430,7 @@
 // TestAlikeEndpointsKeepTheirGain guards against limits and speeds that are read from noise: bursts, random work and
 // loads of other entries that are known late look like slowness for a while.
 func TestAlikeEndpointsKeepTheirGain(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitsFleets {
 		for _, rate := range []float64{300, 400, 560} { // 50 %, 67 % and 93 % of the capacity.
 			m := limitsFleet(n, rate, speeds{constant(1), constant(1), constant(1)})
@@ -438,6 +444,7 @@
 
 // TestManyEntriesDoNotOscillate guards against entries that learn the same at once and all turn from one endpoint to the next.
 func TestManyEntriesDoNotOscillate(t *testing.T) {
+	t.Parallel()
 	without, with := compare(t, limitsFleet(44, 300, speeds{constant(1), constant(3), constant(1)}))
 	assert.Assert(t, with.turns < 0.5, "each limit changes its direction at most every two seconds")
 	assert.Assert(t, with.idleWhileWaiting <= without.idleWhileWaiting)
@@ -445,6 +452,7 @@
 
 // TestFalseReportsOfOneEntry guards against one faulty entry that keeps the fleet from its endpoints.
 func TestFalseReportsOfOneEntry(t *testing.T) {
+	t.Parallel()
 	for _, n := range limitsFleets {
 		m := limitsFleet(n, 300, speeds{constant(1), constant(1), constant(1)})
 		_, honest := compare(t, m)
