Usage by rank is kept only where requests compete by rank

Cause: the sums of ranks and teams were kept for all services, and the fair share of teams was computed for each waiting team: at 890 teams and 100 waiting requests some millions of steps a second. Ruled out: nothing; found by reading. Change: sums only while ranked; one fair share for each ordering; names. Measured: the tests of the order in virtual time pass.

--- a/balance/scheduler/rank.go
+++ b/balance/scheduler/rank.go
@@ -39,6 +39,8 @@
 	// reservedFraction is the part of the slots that only the most urgent rank may take: some tens of milliseconds of its
 	// arrivals, which then need not wait for the end of another request.
 	reservedFraction = 0.05
+	// forgottenUsage is the usage below which a team is forgotten.
+	forgottenUsage = 0.01
 	// fairShareExcess is how far the usage of a team may exceed the mean of the teams with requests before its
 	// requests go after those of others with the same rank.
 	fairShareExcess = 1.5
@@ -71,11 +73,14 @@
 
 // contention decides the order of requests that compete for too little capacity.
 type contention struct {
-	all    usage
-	ranks  map[Rank]*usage
-	teams  map[id.Team]*usage
-	peers  []RankCount // waiting at other entries
-	arrive map[Rank]*rateEstimate
+	// all, ranks and teams count requests that were submitted and started.
+	all   usage
+	ranks map[Rank]*usage
+	teams map[id.Team]*usage
+	// arrivals are the rates at which requests of each rank arrive.
+	arrivals map[Rank]*rateEstimate
+	// peers are the requests that wait at other entries.
+	peers []RankCount
 	// budget is the number of requests that this entry may start before it hears of the others again, while requests wait
 	// there too: its part of the free slots, and those that its own requests free.
 	budget float64
@@ -111,10 +116,10 @@
 }
 
 func newContention() contention {
-	return contention{ranks: make(map[Rank]*usage), teams: make(map[id.Team]*usage), arrive: make(map[Rank]*rateEstimate)}
+	return contention{ranks: make(map[Rank]*usage), teams: make(map[id.Team]*usage), arrivals: make(map[Rank]*rateEstimate)}
 }
 
-func entryOf[K comparable, V any](m map[K]*V, key K) *V {
+func getOrCreate[K comparable, V any](m map[K]*V, key K) *V {
 	v := m[key]
 	if v == nil {
 		v = new(V)
@@ -128,7 +133,7 @@
 	if r.Resumed {
 		return
 	}
-	entryOf(c.arrive, r.Rank).add(now)
+	getOrCreate(c.arrivals, r.Rank).add(now)
 	for _, u := range c.of(r) {
 		u.decay(now)
 		u.submitted++
@@ -147,14 +152,14 @@
 }
 
 func (c *contention) of(r *Request) [3]*usage {
-	return [3]*usage{&c.all, entryOf(c.ranks, r.Rank), entryOf(c.teams, r.Team)}
+	return [3]*usage{&c.all, getOrCreate(c.ranks, r.Rank), getOrCreate(c.teams, r.Team)}
 }
 
 // starves reports whether the rank or the team of a request is served so much less than all that it goes first. A
 // rank does not pass a more urgent one that is served even less.
 func (c *contention) starves(r *Request, now time.Duration) bool {
 	all := c.all.fraction(now)
-	own := entryOf(c.ranks, r.Rank).fraction(now)
+	own := getOrCreate(c.ranks, r.Rank).fraction(now)
 	part := minServedFraction
 	for rank, u := range c.ranks {
 		if !rank.Before(r.Rank) {
@@ -166,34 +171,26 @@
 		part -= servedFractionStep
 	}
 	floor := max(part, leastServedFraction) * all
-	return own < floor || entryOf(c.teams, r.Team).fraction(now) < floor
+	return own < floor || getOrCreate(c.teams, r.Team).fraction(now) < floor
 }
 
-// overFairShare reports whether a team had clearly more than the mean of the teams with requests.
-func (c *contention) overFairShare(team id.Team, now time.Duration) bool {
-	u := c.teams[team]
-	if u == nil || len(c.teams) < 2 {
-		return false
-	}
-	u.decay(now)
+// fairShare returns the usage beyond which a team has clearly more than the mean of the teams with requests. It
+// forgets teams without recent requests.
+func (c *contention) fairShare(now time.Duration) float64 {
 	active := 0
-	for _, t := range c.teams {
-		t.decay(now)
-		if t.submitted >= 1 {
-			active++
-		}
-	}
-	c.all.decay(now)
-	return active > 1 && u.started > fairShareExcess*c.all.started/float64(active)
-}
-
-// prune forgets teams without recent requests.
-func (c *contention) prune(now time.Duration) {
 	for team, u := range c.teams {
-		if u.decay(now); u.submitted < 0.01 {
+		switch u.decay(now); {
+		case u.submitted >= 1:
+			active++
+		case u.submitted < forgottenUsage:
 			delete(c.teams, team)
 		}
 	}
+	if active < 2 {
+		return math.Inf(1)
+	}
+	c.all.decay(now)
+	return fairShareExcess * c.all.started / float64(active)
 }
 
 // waitingBefore returns the number of requests at other entries that go before a rank.
@@ -210,7 +207,7 @@
 // arrivalsBefore returns the rate of arrivals, per second, that go before a rank.
 func (c *contention) arrivalsBefore(r Rank, now time.Duration) float64 {
 	sum := 0.0
-	for rank, e := range c.arrive {
+	for rank, e := range c.arrivals {
 		if rank.Before(r) {
 			sum += e.perSecond(now)
 		}
@@ -253,7 +250,7 @@
 func (s *Scheduler) byRank(now time.Duration) []orderKey {
 	keys := make([]orderKey, len(s.waiting))
 	starved := make(map[Rank]map[id.Team]bool)
-	over := make(map[id.Team]bool)
+	fair := s.contention.fairShare(now)
 	for i, item := range s.waiting {
 		r := &item.Request
 		teams := starved[r.Rank]
@@ -264,10 +261,10 @@
 		if _, ok := teams[r.Team]; !ok {
 			teams[r.Team] = s.contention.starves(r, now)
 		}
-		if _, ok := over[r.Team]; !ok {
-			over[r.Team] = s.contention.overFairShare(r.Team, now)
+		keys[i] = orderKey{
+			item: item, resumed: r.Resumed, starved: teams[r.Team], late: s.isLate(r, now),
+			over: getOrCreate(s.contention.teams, r.Team).started > fair,
 		}
-		keys[i] = orderKey{item: item, resumed: r.Resumed, starved: teams[r.Team], late: s.isLate(r, now), over: over[r.Team]}
 	}
 	slices.SortStableFunc(keys, orderKey.compare)
 	return keys
@@ -275,7 +272,6 @@
 
 // dispatchByRank starts waiting requests in the order of byRank while there is capacity.
 func (s *Scheduler) dispatchByRank(now time.Duration) {
-	s.contention.prune(now)
 	free := s.freeSlots(now)
 	for _, k := range s.byRank(now) {
 		r := &k.item.Request
--- a/balance/scheduler/scheduler.go
+++ b/balance/scheduler/scheduler.go
@@ -211,7 +211,9 @@
 	s.recordZoneTrial(e, now)
 	s.takeCold(e, now)
 	s.countStart(now)
-	s.contention.recordStart(r, now)
+	if s.ranked {
+		s.contention.recordStart(r, now)
+	}
 }
 
 func (s *Scheduler) countStart(now time.Duration) {
@@ -298,7 +300,9 @@
 	if item.Request.Resumed {
 		item.sortKey = 0
 	}
-	s.contention.recordSubmit(&item.Request, now)
+	if s.ranked {
+		s.contention.recordSubmit(&item.Request, now)
+	}
 	s.updateOutage(now)
 	if d, refused := s.refuseOnArrival(item, now); refused {
 		s.decide(item, d, now)
