Callers of an entry that is cut off are sent elsewhere on request only

In the cuts of a zone, the group that remains had the callers of all zones, and streams of all zones were late.

--- a/cmd/internal/platformflags/platformflags.go
+++ b/cmd/internal/platformflags/platformflags.go
@@ -61,7 +61,7 @@
 // Set returns the settings as flags and environment variables.
 func (s *Settings) Set() *settings.Set {
 	set := settings.New(ProgramName)
-	set.Bool(&s.Run.RedirectIsolated, "redirect-isolated", "Send the callers of an entry that is cut off to other zones, also where the platform's settings do not ask for it")
+	set.Bool(&s.Run.RedirectIsolated, "redirect-isolated", "Send the callers of an entry that is cut off to other zones")
 	set.Int(&s.Run.MetricsPort, "metrics-port", "port", "Port of an additional listener for metrics, 0 for none")
 	set.Bool(&s.Run.BindSource, "bind-source", "Open connections from the host's own address, for hosts with several")
 	set.String(&s.Run.AdvertiseAddress, "advertise", "Address (ip:port) that other entries connect to, if it is not the listen address")
