--- a/balance/scheduler/types.go
+++ b/balance/scheduler/types.go
@@ -2,10 +2,12 @@
 // places them on endpoints and refuses those that cannot be served in time.
 //
 // Requests that can still meet their target start first, in order of target and
-// priority; late ones use the remaining capacity. A request that cannot start in
+// priority; late ones use the remaining capacity. Where requests compete by rank,
+// the rank decides first. A request that cannot start in
 // time is refused as soon as that is predictable, with a retry time. While all
 // endpoint groups are down, nothing starts; a circuit breaker per group limits
-// requests to groups that refuse them.
+// requests to groups that refuse them, and trials limit those to zones that cannot
+// be reached.
 //
 // A Scheduler has neither clock nor goroutines. Times are durations since an
 // arbitrary fixed origin.
