--- a/balance/scheduler/cold.go
+++ b/balance/scheduler/cold.go
@@ -79,11 +79,11 @@
 // usableSlots returns the slots of an endpoint that may be used now. The empty slots of a cold
 // endpoint do not raise the number of requests that others may have beyond theirs.
 func (s *Scheduler) usableSlots(e *endpoint, now time.Duration) int {
-	running, slots := e.ownLoad.Running+e.peerLoad.Running, min(e.Slots, s.limit(e, now))
-	if running >= slots {
-		return slots
+	running := e.ownLoad.Running + e.peerLoad.Running
+	if running >= e.Slots {
+		return e.Slots
 	}
-	return running + s.coldStarts(e, slots-running, now)
+	return running + s.coldStarts(e, e.Slots-running, now)
 }
 
 // coldWait returns the time until as many requests as given can start, if all endpoints that accept
