--- a/balance/capacity/bench_test.go
+++ b/balance/capacity/bench_test.go
@@ -8,8 +8,8 @@
 	"github.com/siskinford/siskinford/core/id"
 )
 
-// BenchmarkChoice measures what one choice among 1,200 endpoints asks a learner, and its share of the evaluations at
-// 100 choices and 12,000 answers a second.
+// BenchmarkChoice runs the calls to a learner for one choice among 1,200 endpoints, and its share of the evaluations
+// at 100 choices and 12,000 answers a second.
 func BenchmarkChoice(b *testing.B) {
 	var names []id.Endpoint
 	for i := range 1200 {
--- a/balance/coldstart/bench_test.go
+++ b/balance/coldstart/bench_test.go
@@ -26,7 +26,7 @@
 	return l, names, now
 }
 
-// BenchmarkNext measures the question that a request asks for each endpoint while some are cold.
+// BenchmarkNext runs Next, which is called once per endpoint and request, while some endpoints are cold.
 func BenchmarkNext(b *testing.B) {
 	l, names, now := benchLimiter(b)
 	for i := range b.N {
@@ -34,8 +34,8 @@
 	}
 }
 
-// BenchmarkFleetChange measures the first question for each endpoint, all of them cold, after a host
-// joined.
+// BenchmarkFleetChange runs the first Next of each endpoint after a host joined, with all endpoints
+// cold.
 func BenchmarkFleetChange(b *testing.B) {
 	l, names, now := benchLimiter(b)
 	for range b.N {
--- a/balance/coldstart/coldstart.go
+++ b/balance/coldstart/coldstart.go
@@ -2,8 +2,8 @@
 // that is cold: one that has just started and fails under a higher rate.
 //
 // Each entry has a fixed share of the rate, which it computes from the hosts of the fleet alone.
-// For each endpoint a few entries, chosen by rendezvous hashing, may send to it at an equal part of
-// the rate with a burst of one. The shares are safe without any message between the entries:
+// Rendezvous hashing selects a few entries for each endpoint. Each of them may send to it at an equal
+// part of the rate with a burst of one. The shares are safe without any message between the entries:
 // their number is such that a request more of each of them stays within the bound.
 //
 // A Limiter has neither clock nor goroutines. Times are durations since an arbitrary fixed origin.
--- a/balance/scheduler/reach_test.go
+++ b/balance/scheduler/reach_test.go
@@ -27,7 +27,7 @@
 }
 
 // send submits a request and, like an entry, again at another endpoint while connections fail. It returns the last
-// decision and the number of connections that were tried. All connections fail if cut is true.
+// decision and the number of connection attempts. All connections fail if cut is true.
 func (h *harness) send(cut bool) (d *Decision, tried int) {
 	r := h.chatRequest()
 	for {
