--- a/review/6/kit/kit.go
+++ b/review/6/kit/kit.go
@@ -39,6 +39,8 @@
 	// DeskSlots and DeskTime are the slots and the time of a request at a plain replica. Default: 6 and 5 ms.
 	DeskSlots int
 	DeskTime  time.Duration
+	// Begun is called before anything is started. It may be nil.
+	Begun func(*Kit)
 	// Rank wraps the handler of a rank's replica. It may be nil.
 	Rank func(rank int, h http.Handler) http.Handler
 	// Entry changes the settings of an entry. It may be nil.
@@ -90,6 +92,9 @@
 	defer cancel()
 	k := &Kit{opt: o.withDefaults(), Trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: f}
 	defer k.close()
+	if o.Begun != nil {
+		o.Begun(k)
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Runs the case and writes record.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/oddentry ] && [ -x target/siskinford-platform ] && [ -x target/siskinford-relay ] || exit 2
-exec target/review/oddentry review/7
+[ -x target/review/spoiled ] && [ -x target/siskinford-platform ] && [ -x target/siskinford-relay ] || exit 2
+exec target/review/spoiled review/7
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-go build -o ../target/review/ ./6/spoiled ./7/oddentry ./8/notenants ./9/silent
+go build -o ../target/review/ ./6/wrongrank ./7/spoiled ./8/oddentry ./9/notenants ./10/silent
