Answers of ranks are checked where they are decoded

Cause: layouts went from the relay's message to the planner unchecked. The planner uses experts as indexes, in a goroutine whose panic ends the process. The next lease holder read the same answer.

Layouts of all ranks that do not add up to a map are not used. Relays read layouts again each second, so that a wrong one does not stay for as long as the map; a version that the coordinator has ordered keeps its known content. Dropped answers are counted and logged.

Without the check of layouts FuzzRelayMessage's first seed fails with "index out of range [72] with length 16".

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -20,6 +20,8 @@
 	callTimeout = 500 * time.Millisecond
 	// minPollInterval bounds the rate at which an entry may have the engine polled.
 	minPollInterval = 5 * time.Millisecond
+	// minLayoutInterval bounds the rate at which an entry may have an unchanged layout read again.
+	minLayoutInterval = 200 * time.Millisecond
 	// resendPolls is the number of polls after which an unchanged state is sent again,
 	// within minResendInterval and maxResendInterval.
 	resendPolls       = 3
--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -22,8 +22,11 @@
 	mu     sync.Mutex
 	state  relay.State
 	counts relay.Counts
-	err    error
-	orders []relay.Order
+	// experts and layoutErr are the answer of Layout; nil means one set of two experts.
+	experts   [][]int
+	layoutErr error
+	err       error
+	orders    []relay.Order
 	// other is the rank at any other address.
 	other *fakeEngine
 	// stateCalls and countsCalls are the numbers of calls of State and Counts.
@@ -81,7 +84,11 @@
 func (e *fakeEngine) Layout(context.Context) (relay.Layout, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return relay.Layout{Epoch: e.state.Epoch, Version: e.state.MapVersion, Experts: [][]int{{0, 1}}}, e.err
+	experts := e.experts
+	if experts == nil {
+		experts = [][]int{{0, 1}}
+	}
+	return relay.Layout{Epoch: e.state.Epoch, Version: e.state.MapVersion, Experts: experts}, errors.Join(e.err, e.layoutErr)
 }
 
 func (e *fakeEngine) Order(_ context.Context, o relay.Order) relay.Result {
@@ -313,3 +320,39 @@
 	assert.Assert(t, !x.lines.Scan())
 	assert.NilError(t, x.lines.Err(), "closed, not timed out")
 }
+
+// TestLayoutIsReadAgain guards against one wrong answer about the layout that stays with the entry
+// until the map changes: without a true layout there is no change.
+func TestLayoutIsReadAgain(t *testing.T) {
+	e := &fakeEngine{state: relay.State{Group: "g", Epoch: 2, Step: 5, Open: true}, experts: [][]int{{0, 64}}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10, LayoutMillis: 10}})
+	wrong := x.next("layout", func(m relay.FromRelay) bool { return m.Layout != nil })
+	assert.DeepEqual(t, wrong.Layout.Experts, [][]int{{0, 64}})
+	e.set(func() { e.experts = nil })
+	right := x.next("corrected layout", func(m relay.FromRelay) bool { return m.Layout != nil })
+	assert.DeepEqual(t, right.Layout.Experts, [][]int{{0, 1}})
+}
+
+// TestInvalidLayoutHidesNoState guards against a wrong answer about the layout that keeps the entry
+// from seeing the rank's state.
+func TestInvalidLayoutHidesNoState(t *testing.T) {
+	e := &fakeEngine{state: relay.State{Group: "g", Epoch: 2, Step: 5, Open: true}, layoutErr: relay.ErrInvalid}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10}})
+	x.next("invalid answer", func(m relay.FromRelay) bool { return m.Invalid != "" && m.Unreachable == "" })
+	x.next("state", func(m relay.FromRelay) bool { return m.State != nil })
+}
+
+// TestCountsFarAheadAreInvalid guards against counts whose wrong step ends the samples of a rank.
+func TestCountsFarAheadAreInvalid(t *testing.T) {
+	e := &fakeEngine{state: relay.State{StartMillis: 1, Epoch: 2, Step: 5}, counts: relay.Counts{Step: 5, Epoch: 2, Tokens: []uint64{10}}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10, SampleMillis: 10}})
+	e.awaitCounts(t, 1)
+	e.set(func() { e.state.Step, e.counts = 6, relay.Counts{Step: 906, Epoch: 2, Tokens: []uint64{12}} })
+	x.next("invalid answer", func(m relay.FromRelay) bool { return m.Invalid != "" })
+	e.set(func() { e.state.Step, e.counts = 9, relay.Counts{Step: 9, Epoch: 2, Tokens: []uint64{20}} })
+	sample := x.next("sample", func(m relay.FromRelay) bool { return m.Sample != nil }).Sample
+	assert.Equal(t, sample.To, uint64(9))
+}
--- a/agent/relay/sample.go
+++ b/agent/relay/sample.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/siskinford/siskinford/wire/relay"
 )
 
+// maxCountedSteps bounds the steps that begin between the two calls of a poll. Calls end after
+// callTimeout, and a step takes 15 ms or more.
+const maxCountedSteps = 32
+
 // sampler polls the rank for one session.
 type sampler struct {
 	session  *session
@@ -17,6 +23,7 @@
 	// changingUntil is the end of the change window of the last order.
 	changingUntil time.Time
 	layout        relay.Layout
+	layoutAt      time.Time
 	// base are the counts at the last sample, and baseBorn the rank's start then.
 	base            relay.Counts
 	baseStartMillis int64
@@ -66,13 +73,20 @@
 	}
 	s.unreachable = false
 	var m relay.FromRelay
-	if state.Epoch != s.layout.Epoch || state.MapVersion != s.layout.Version || s.layout.Experts == nil {
+	if s.layoutDue(state, now) {
 		layout, err := s.session.server.engine.Layout(ctx)
-		if err != nil {
+		switch {
+		case errors.Is(err, relay.ErrInvalid):
+			s.sendUnreachable(err)
+		case err != nil:
 			s.sendUnreachable(err)
 			return
+		default:
+			if !sameLayout(layout, s.layout) {
+				m.Layout = &layout
+			}
+			s.layout, s.layoutAt = layout, now
 		}
-		s.layout, m.Layout = layout, &layout
 	}
 	if m.Layout != nil || state != s.lastSent || now.Sub(s.sentAt) >= s.resendInterval() {
 		s.lastSent, s.sentAt, m.State = state, now, &state
@@ -100,6 +114,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if counts.Step > state.Step+maxCountedSteps {
+		return nil, fmt.Errorf("%w: counts of step %d, %d steps after the report", relay.ErrInvalid, counts.Step, counts.Step-state.Step)
+	}
 	s.sampledAt = now
 	return s.sampleSinceBase(state.StartMillis, counts), nil
 }
@@ -111,7 +128,26 @@
 	return min(max(interval, minResendInterval), maxResendInterval)
 }
 
+// layoutDue reports whether to read the layout.
+func (s *sampler) layoutDue(state relay.State, now time.Time) bool {
+	if state.Epoch != s.layout.Epoch || state.MapVersion != s.layout.Version || s.layout.Experts == nil {
+		return true
+	}
+	interval := time.Duration(s.watch.LayoutMillis) * time.Millisecond
+	return interval > 0 && now.Sub(s.layoutAt) >= max(interval, minLayoutInterval)
+}
+
+func sameLayout(a, b relay.Layout) bool {
+	return a.Epoch == b.Epoch && a.Version == b.Version && slices.EqualFunc(a.Experts, b.Experts, slices.Equal[[]int])
+}
+
+// sendUnreachable reports a failed poll: each invalid answer, and otherwise the first failure in
+// a row.
 func (s *sampler) sendUnreachable(err error) {
+	if errors.Is(err, relay.ErrInvalid) {
+		s.session.send(relay.FromRelay{Invalid: err.Error()})
+		return
+	}
 	if s.unreachable {
 		return
 	}
--- a/balance/mapswitch/change.go
+++ b/balance/mapswitch/change.go
@@ -330,7 +330,7 @@
 		}
 	}
 	if c.target != nil {
-		c.contents[c.version] = c.target
+		c.contents[c.version], c.ordered[c.version] = c.target, true
 	}
 	c.undoneInARow = 0
 	c.enter(Idle, now, "every rank uses the new map")
--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -36,8 +36,10 @@
 	// holdVia is the rank whose relay forwarded the last hold.
 	holdVia int
 
-	// contents holds the maps that are or were in use, by version.
+	// contents holds the maps that are or were in use, by version. Those in ordered are known from
+	// the coordinator's own orders.
 	contents map[uint64]Map
+	ordered  map[uint64]bool
 	// releasable holds the held steps that may be released at any time.
 	releasable map[heldStep]bool
 
@@ -106,6 +108,7 @@
 		residues:    residues,
 		ranks:       make([]rank, cfg.Ranks),
 		contents:    make(map[uint64]Map),
+		ordered:     make(map[uint64]bool),
 		releasable:  make(map[heldStep]bool),
 	}
 }
@@ -146,9 +149,10 @@
 	return version, content, ok
 }
 
-// SetContent provides the content of a version that is or was in use in an epoch.
+// SetContent provides the content of a version that is or was in use in an epoch, as the ranks
+// report it. A version that the coordinator has ordered keeps its content.
 func (c *Coordinator) SetContent(epoch, version uint64, content Map) {
-	if epoch == c.epoch {
+	if epoch == c.epoch && !c.ordered[version] {
 		c.contents[version] = content
 	}
 }
@@ -187,6 +191,7 @@
 		c.ranks[i] = rank{rtt: c.ranks[i].rtt}
 	}
 	clear(c.contents)
+	clear(c.ordered)
 	clear(c.releasable)
 	c.version, c.target, c.step, c.lastReleasable = 0, nil, 0, 0
 	c.stepTime, c.windowStep = 0, 0
--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -44,6 +44,9 @@
 	// ReplanHoldoff is the time without new plans after one that was not worth its cost,
 	// unless the demand changes. Default: 1 s.
 	ReplanHoldoff time.Duration
+	// LayoutInterval is the interval at which relays read the experts on their rank again. Default:
+	// 1 s.
+	LayoutInterval time.Duration
 	// MaxCopyTime bounds the time for which a rank copies experts in one change; it may copy
 	// one in any case. Passes take longer while ranks copy, and the map gets older. Default:
 	// 60 ms, a few passes.
@@ -67,6 +70,7 @@
 	setDefault(&c.MaxDemandAge, time.Second)
 	setDefault(&c.PlanInterval, 40*time.Millisecond)
 	setDefault(&c.ReplanHoldoff, time.Second)
+	setDefault(&c.LayoutInterval, time.Second)
 	setDefault(&c.MaxCopyTime, 60*time.Millisecond)
 	setDefault(&c.MinTotalGain, 0.64)
 	setDefault(&c.MinSkewReduction, 0.04)
@@ -240,6 +244,7 @@
 		events: make(chan ranklink.Event, eventQueue),
 		links:  make(map[id.Endpoint]*ranklink.Link), layouts: make(map[*ranklink.Link]relay.Layout),
 		groups: make(map[id.Group]*group), pending: make(map[uint64]pendingOrder),
+		invalid: &invalidAnswers{group: c.opt.Group, log: log, set: c.opt.Metrics},
 	}
 	go s.run(ctx)
 	return s
--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -31,10 +31,10 @@
 	// sampledAt is when the last sample of any rank arrived.
 	sampledAt time.Duration
 	plannedAt time.Duration
-	// maps is the map in use in the planner's form.
-	maps        []expertmap.Map
-	mapsVersion uint64
-	mapsEpoch   uint64
+	// maps is mapsOf, the map in use, in the planner's form.
+	maps    []expertmap.Map
+	mapsOf  mapswitch.Map
+	invalid *invalidAnswers
 	// shifts counts the demand changes seen. shiftedAt is when the first one that the map does
 	// not follow yet was seen, zero for none.
 	shifts    int
@@ -65,7 +65,7 @@
 func newGroup(s *session, name id.Group, size int) *group {
 	g := &group{
 		name: name, size: size, cfg: s.cfg, experts: s.engine.Experts, requestSlots: s.engine.Slots,
-		log:       s.log,
+		log: s.log, invalid: s.invalid,
 		mapSwitch: mapswitch.New(mapswitch.Config{Ranks: size, MapTransferTime: mapTransferTime(size, s.engine.Experts)}, s.token),
 		demand: expertmap.NewDemandEstimator(expertmap.DemandConfig{
 			Sets: s.engine.Experts.LayerSets, Experts: s.engine.Experts.ExpertsPerSet, Ranks: size, TimeConstant: s.cfg.DemandTimeConstant,
@@ -144,9 +144,30 @@
 			content[s][r] = layout.Experts[s]
 		}
 	}
+	if err := g.validateMap(content); err != nil {
+		g.invalid.add(nil, mapAnswer, err)
+		return
+	}
 	g.mapSwitch.SetContent(first.Epoch, first.Version, content)
 }
 
+// validateMap requires each expert to be on a rank. The layouts of the ranks are valid by themselves.
+func (g *group) validateMap(content mapswitch.Map) error {
+	held := make([]bool, g.experts.ExpertsPerSet)
+	for set, ranks := range content {
+		clear(held)
+		for _, experts := range ranks {
+			for _, e := range experts {
+				held[e] = true
+			}
+		}
+		if e := slices.Index(held, false); e >= 0 {
+			return fmt.Errorf("%w: no rank holds expert %d of set %d", relay.ErrInvalid, e, set)
+		}
+	}
+	return nil
+}
+
 func (g *group) onSample(l *ranklink.Link, s *relay.Sample, now time.Duration) {
 	if s.Epoch != g.mapSwitch.Epoch() {
 		return
@@ -183,7 +204,7 @@
 	if g.shiftedAt == 0 || !ok || !known {
 		return
 	}
-	if skew := meanSkew(g.plannerMaps(version, content), loads, nil); skew <= followedSkew {
+	if skew := meanSkew(g.plannerMaps(content), loads, nil); skew <= followedSkew {
 		after := now - g.shiftedAt
 		g.shiftedAt = 0
 		g.followTime.Update(after.Seconds())
@@ -231,7 +252,7 @@
 		return false
 	}
 	g.plannedAt = now
-	maps := g.plannerMaps(version, content)
+	maps := g.plannerMaps(content)
 	slowdowns := g.plannerSlowdowns()
 	skew := meanSkew(maps, loads, slowdowns)
 	if g.lastRejected.shifts == g.demand.Shifts() && now-g.lastRejected.at < g.cfg.ReplanHoldoff && skew < g.lastRejected.skew+g.cfg.MinSkewReduction {
@@ -300,10 +321,10 @@
 	return out
 }
 
-// plannerMaps returns the map in use in the planner's form, cached by version.
-func (g *group) plannerMaps(version uint64, content mapswitch.Map) []expertmap.Map {
-	if g.maps == nil || version != g.mapsVersion || g.mapSwitch.Epoch() != g.mapsEpoch {
-		g.maps, g.mapsVersion, g.mapsEpoch = toMaps(content, g.experts.SlotsPerRank), version, g.mapSwitch.Epoch()
+// plannerMaps returns the map in use in the planner's form, cached until it changes.
+func (g *group) plannerMaps(content mapswitch.Map) []expertmap.Map {
+	if len(content) != len(g.mapsOf) || len(content) > 0 && &content[0] != &g.mapsOf[0] {
+		g.maps, g.mapsOf = toMaps(content, g.experts.SlotsPerRank), content
 	}
 	return g.maps
 }
--- a/entry/expertmaps/group_test.go
+++ b/entry/expertmaps/group_test.go
@@ -1,6 +1,8 @@
 package expertmaps
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -15,24 +17,40 @@
 	"github.com/siskinford/siskinford/wire/relay"
 )
 
-// newOpenGroup returns a group whose ranks all reported the initial map.
-func newOpenGroup(t *testing.T, ranks, slots, experts int) *group {
+// closedLink returns a link that reaches no rank.
+func closedLink() *ranklink.Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ranklink.Open(ctx, ranklink.Options{})
+}
+
+// newOpenSession returns a session whose group's ranks all reported the initial map.
+func newOpenSession(t testing.TB, ranks, slots, experts int) (*session, *group) {
 	t.Helper()
+	set := metrics.NewSet()
 	s := &session{
-		cfg: Config{}.withDefaults(), engine: &routes.Engine{Slots: 4, Experts: &routes.Experts{LayerSets: 1, ExpertsPerSet: experts, SlotsPerRank: slots, MaxNewPerMap: 1}},
-		token: 7, log: zerolog.Nop(), set: metrics.NewSet(), layouts: make(map[*ranklink.Link]relay.Layout),
+		cfg: Config{}.withDefaults(), name: "g",
+		engine: &routes.Engine{Slots: 4, Experts: &routes.Experts{LayerSets: 1, ExpertsPerSet: experts, SlotsPerRank: slots, MaxNewPerMap: 1}},
+		token:  7, log: zerolog.Nop(), set: set, layouts: make(map[*ranklink.Link]relay.Layout), groups: make(map[id.Group]*group),
+		pending: make(map[uint64]pendingOrder), invalid: &invalidAnswers{group: "g", log: zerolog.Nop(), set: set},
 	}
-	g := newGroup(s, "g", ranks)
 	content := make([][]int, ranks)
 	for e := range experts {
 		content[e%ranks] = append(content[e%ranks], e)
 	}
 	for r := range ranks {
-		l := &ranklink.Link{}
-		g.onState(l, &relay.State{Group: id.Group("g"), Size: ranks, Rank: r, Epoch: 1, Open: true, Step: 1}, 0)
-		s.layouts[l] = relay.Layout{Epoch: 1, Experts: [][]int{content[r]}}
+		s.handle(ranklink.Event{
+			Link:   closedLink(),
+			State:  &relay.State{Group: "g", Size: ranks, Rank: r, Epoch: 1, Open: true, Step: 1},
+			Layout: &relay.Layout{Epoch: 1, Experts: [][]int{content[r]}},
+		}, 0)
 	}
-	g.assembleMap(s.layouts)
+	return s, s.groups["g"]
+}
+
+func newOpenGroup(t testing.TB, ranks, slots, experts int) *group {
+	t.Helper()
+	_, g := newOpenSession(t, ranks, slots, experts)
 	return g
 }
 
@@ -55,3 +73,52 @@
 	}
 	assert.Assert(t, g.changing())
 }
+
+// TestMapWithoutAnExpertIsNotUsed guards against a plan from layouts that do not add up to a map,
+// after a wrong digit that is another expert. The last layouts that do hold.
+func TestMapWithoutAnExpertIsNotUsed(t *testing.T) {
+	g := newOpenGroup(t, 4, 4, 16)
+	version, before, ok := g.mapSwitch.Current()
+	assert.Assert(t, ok)
+	layouts := make(map[*ranklink.Link]relay.Layout)
+	for r := range g.ranks {
+		layouts[g.ranks[r].link] = relay.Layout{Epoch: 1, Experts: [][]int{before[0][r]}}
+	}
+	layouts[g.ranks[2].link] = relay.Layout{Epoch: 1, Experts: [][]int{{2, 6, 10, 13}}} // 14 in place of 13
+	g.assembleMap(layouts)
+	_, after, ok := g.mapSwitch.Current()
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, after, before)
+	assert.Equal(t, g.invalid.set.GetOrCreateCounter(`siskinford_rank_answers_invalid_total{group="g",kind="map"}`).Get(), uint64(1))
+	layouts[g.ranks[2].link] = relay.Layout{Epoch: 1, Experts: [][]int{{2, 6, 14, 10}}}
+	g.assembleMap(layouts)
+	got, corrected, ok := g.mapSwitch.Current()
+	assert.Assert(t, ok && got == version)
+	assert.DeepEqual(t, corrected[0][2], []int{2, 6, 14, 10})
+	assert.DeepEqual(t, g.plannerMaps(corrected)[0].Slots[2], toMaps(corrected, 4)[0].Slots[2])
+}
+
+// FuzzRelayMessage requires that no message of a relay ends the process.
+func FuzzRelayMessage(f *testing.F) {
+	f.Add([]byte(`{"layout":{"epoch":1,"version":0,"experts":[[0,4,8,72]]}}`))
+	f.Add([]byte(`{"layout":{"epoch":1,"version":0,"experts":[[0,4,-8,12]]}}`))
+	f.Add([]byte(`{"state":{"born":1,"group":"g","epoch":1,"rank":3,"size":4,"open":true,"step":2,"map":0}}`))
+	f.Add([]byte(`{"state":{"born":9,"group":"g","epoch":7,"rank":0,"size":4,"open":true,"step":912,"map":5}}`))
+	f.Add([]byte(`{"state":{"born":1,"group":"g","epoch":1,"rank":0,"size":6,"open":true,"step":2,"map":0}}`))
+	f.Add([]byte(`{"sample":{"born":1,"epoch":1,"from":1,"to":2,"levels":"AAAAAAAA"}}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var m relay.FromRelay
+		if json.Unmarshal(line, &m) != nil {
+			return
+		}
+		s, g := newOpenSession(t, 4, 4, 16)
+		e := ranklink.Event{State: m.State, Layout: m.Layout, Sample: m.Sample}.Valid(s.shape(), func(ranklink.AnswerKind, error) {})
+		e.Link = g.ranks[0].link
+		for now := time.Duration(0); now < time.Second; now += 10 * tickInterval {
+			s.handle(e, now)
+			sample := &relay.Sample{Epoch: g.mapSwitch.Epoch(), From: 1, To: 2, Levels: []byte("0123456789abcdef")}
+			s.handle(ranklink.Event{Link: g.ranks[1].link, Sample: sample}, now)
+			s.advance(now, true)
+		}
+	})
+}
--- a/entry/expertmaps/sampled.go
+++ b/entry/expertmaps/sampled.go
@@ -37,6 +37,7 @@
 func (c Config) watch(sample bool) relay.Watch {
 	w := relay.Watch{
 		StateMillis: int(c.IdleStateInterval.Milliseconds()), ChangeMillis: int(c.StateInterval.Milliseconds()),
+		LayoutMillis: int(c.LayoutInterval.Milliseconds()),
 	}
 	if sample {
 		w.StateMillis, w.SampleMillis = int(c.StateInterval.Milliseconds()), int(c.SampleInterval.Milliseconds())
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -41,6 +41,7 @@
 	// pending maps the IDs of sent orders to the order IDs of the map switch.
 	pending   map[uint64]pendingOrder
 	nextOrder uint64
+	invalid   *invalidAnswers
 	// unloggedFailures counts the failed orders since one was last logged.
 	unloggedFailures int
 	failureLoggedAt  time.Duration
@@ -148,7 +149,7 @@
 		}
 		s.links[e.Name] = ranklink.Open(ctx, ranklink.Options{
 			Endpoint: e, Source: s.source, EngineClient: s.engineClient, Events: s.events, Report: s.logLinkEvent,
-			Watch: s.cfg.watch(false),
+			Watch: s.cfg.watch(false), Shape: s.shape(), Invalid: s.invalid.add,
 		})
 	}
 	for name, l := range s.links {
@@ -167,6 +168,11 @@
 	}
 }
 
+// shape returns what layouts and samples of the ranks must fit.
+func (s *session) shape() relay.Shape {
+	return relay.Shape{LayerSets: s.engine.Experts.LayerSets, ExpertsPerSet: s.engine.Experts.ExpertsPerSet}
+}
+
 func (s *session) close(l *ranklink.Link) {
 	l.Close()
 	delete(s.layouts, l)
@@ -176,10 +182,6 @@
 	s.log.Info().Err(err).Str("event", event).Str("endpoint", string(l.Endpoint().Name)).Str("relay", l.Endpoint().Relay).Send()
 }
 
-// maxGroupSize bounds the group size that a report may claim, far above the 64 ranks of
-// the largest planned groups.
-const maxGroupSize = 4096
-
 // handleBatch handles an event and those queued behind it, so that the session advances
 // once when many ranks report at the same time.
 func (s *session) handleBatch(e ranklink.Event, began time.Time) {
@@ -221,7 +223,7 @@
 
 // onState processes a state and reports whether it may complete the map in use.
 func (s *session) onState(l *ranklink.Link, state *relay.State, now time.Duration) bool {
-	if state.Group != s.name || state.Size < 1 || state.Size > maxGroupSize {
+	if state.Group != s.name {
 		return false
 	}
 	g := s.group(state.Group, state.Size)
--- a/entry/ranklink/link.go
+++ b/entry/ranklink/link.go
@@ -36,6 +36,20 @@
 	Result *relay.Result
 }
 
+// AnswerKind is the kind of an answer of a rank.
+type AnswerKind string
+
+const (
+	// StateAnswer is a State.
+	StateAnswer AnswerKind = "state"
+	// LayoutAnswer is a Layout.
+	LayoutAnswer AnswerKind = "layout"
+	// SampleAnswer is a Sample.
+	SampleAnswer AnswerKind = "sample"
+	// UnreadAnswer is an answer that the rank's relay or client rejected.
+	UnreadAnswer AnswerKind = "unread"
+)
+
 const (
 	// dialTimeout bounds connecting to a relay, several round trips.
 	dialTimeout = 250 * time.Millisecond
@@ -70,10 +84,15 @@
 	EngineClient func(address string) relay.Engine
 	// StateOnly skips the layout when polling a rank directly.
 	StateOnly bool
-	Events    chan<- Event
+	// Shape is what layouts and samples must fit. Zero drops all layouts and samples.
+	Shape  relay.Shape
+	Events chan<- Event
 	// Report is called with an event name when the relay is connected, lost or unreachable,
 	// or the relay cannot reach its rank. It must not block.
 	Report func(l *Link, event string, err error)
+	// Invalid is called with an answer of the rank that is not used. It must not block. Nil
+	// ignores them.
+	Invalid func(l *Link, kind AnswerKind, err error)
 }
 
 // Link exchanges messages with one rank.
@@ -137,6 +156,45 @@
 	}
 }
 
+// Valid returns the event without the answers that cannot be true. They are passed to invalid.
+func (e Event) Valid(shape relay.Shape, invalid func(AnswerKind, error)) Event {
+	if e.State != nil {
+		if err := e.State.Validate(); err != nil {
+			invalid(StateAnswer, err)
+			e.State = nil
+		}
+	}
+	if shape == (relay.Shape{}) {
+		e.Layout, e.Sample = nil, nil
+	}
+	if e.Layout != nil {
+		if err := e.Layout.Validate(shape); err != nil {
+			invalid(LayoutAnswer, err)
+			e.Layout = nil
+		}
+	}
+	if e.Sample != nil {
+		if err := e.Sample.Validate(shape); err != nil {
+			invalid(SampleAnswer, err)
+			e.Sample = nil
+		}
+	}
+	return e
+}
+
+// receive emits the valid parts of an event.
+func (l *Link) receive(ctx context.Context, e Event) {
+	if e = e.Valid(l.opt.Shape, l.reportInvalid); e != (Event{}) {
+		l.emit(ctx, e)
+	}
+}
+
+func (l *Link) reportInvalid(kind AnswerKind, err error) {
+	if l.opt.Invalid != nil {
+		l.opt.Invalid(l, kind, err)
+	}
+}
+
 func (l *Link) emit(ctx context.Context, e Event) {
 	e.Link = l
 	select {
@@ -190,11 +248,14 @@
 			return err
 		}
 		l.recordMessage()
-		if m.Unreachable != "" {
-			l.opt.Report(l, "rank.unreachable", nil)
-			continue
+		switch {
+		case m.Unreachable != "":
+			l.opt.Report(l, "rank.unreachable", errors.New(m.Unreachable))
+		case m.Invalid != "":
+			l.reportInvalid(UnreadAnswer, errors.New(m.Invalid))
+		default:
+			l.receive(ctx, Event{State: m.State, Layout: m.Layout, Sample: m.Sample, Result: m.Result})
 		}
-		l.emit(ctx, Event{State: m.State, Layout: m.Layout, Sample: m.Sample, Result: m.Result})
 	}
 }
 
@@ -309,19 +370,28 @@
 	defer cancel()
 	state, err := engine.State(ctx)
 	if err != nil {
+		l.reportUnread(err)
 		return
 	}
 	if l.opt.StateOnly {
-		l.emit(ctx, Event{State: &state})
+		l.receive(ctx, Event{State: &state})
 		return
 	}
 	if layout.Experts == nil || layout.Epoch != state.Epoch || layout.Version != state.MapVersion {
 		got, err := engine.Layout(ctx)
 		if err != nil {
+			l.reportUnread(err)
 			return
 		}
 		*layout = got
-		l.emit(ctx, Event{Layout: &got})
+		l.receive(ctx, Event{Layout: &got})
+	}
+	l.receive(ctx, Event{State: &state})
+}
+
+// reportUnread reports the error of a direct poll if the rank answered.
+func (l *Link) reportUnread(err error) {
+	if errors.Is(err, relay.ErrInvalid) {
+		l.reportInvalid(UnreadAnswer, err)
 	}
-	l.emit(ctx, Event{State: &state})
 }
--- a/wire/relay/messages.go
+++ b/wire/relay/messages.go
@@ -26,18 +26,23 @@
 	ChangeMillis int `json:"change_ms,omitempty"`
 	// SampleMillis is the minimum interval between samples. Zero disables them.
 	SampleMillis int `json:"sample_ms,omitempty"`
+	// LayoutMillis is the interval at which the layout is read again although the map in use is
+	// the same. Zero reads it once for each map.
+	LayoutMillis int `json:"layout_ms,omitempty"`
 }
 
 // FromRelay is a message from a relay: the result of a poll (any of State, Layout and
 // Sample), or one of the other fields.
 type FromRelay struct {
 	State *State `json:"state,omitempty"`
-	// Layout is sent when the map in use has changed.
+	// Layout is sent when it has changed.
 	Layout *Layout `json:"layout,omitempty"`
 	Sample *Sample `json:"sample,omitempty"`
 	Result *Result `json:"result,omitempty"`
 	// Unreachable is the error of a failed poll.
 	Unreachable string `json:"unreachable,omitempty"`
+	// Invalid is the error of a poll whose answer was read but cannot be true.
+	Invalid string `json:"invalid,omitempty"`
 }
 
 // Layout lists the experts on a rank under the map in use.
