A wrong step in a report does not keep a group held

What callers saw: streams that stand still. After one report with a step that is a little too high, a change in progress never ended, and the group stayed held until another entry took the lease.

Cause: reports whose step is below the rank's last one were dropped. A wrong step hid all later reports of the rank, and a held group never catches up with it. Once the group did, the estimate of the step time divided by zero, which ends the process. A wrong held step could also become releasable and be held again later.

Ruled out: that safety needs the drop. Schedules with stale and reordered reports begin no step with two maps without it.

Change: the last report counts; the estimate starts anew after a wrong step; steps that may be released are not held; Form follows a lower epoch too.

--- a/balance/mapswitch/machine.go
+++ b/balance/mapswitch/machine.go
@@ -29,7 +29,7 @@
 	// residue when divided by residues.
 	ownRank           int
 	residue, residues uint64
-	// lastReleasable is the highest releasable step at ownRank.
+	// lastReleasable is the highest step at ownRank that the lease held and may release.
 	lastReleasable uint64
 	heldAt         time.Duration
 	holdTries      int
@@ -113,10 +113,15 @@
 	}
 }
 
-// nextHoldStep returns the first step from s on that the lease may hold.
+// nextHoldStep returns the first step from s on that the lease may hold. Releasable steps may be
+// above lastReleasable if a report named a wrong one as held.
 func (c *Coordinator) nextHoldStep(s uint64) uint64 {
 	s = max(s, c.lastReleasable+1)
-	return s + (c.residue+c.residues-s%c.residues)%c.residues
+	s += (c.residue + c.residues - s%c.residues) % c.residues
+	for c.releasable[heldStep{c.ownRank, s}] {
+		s += c.residues
+	}
+	return s
 }
 
 // allowRelease permits releasing the step of the change at any time.
@@ -164,7 +169,8 @@
 	return e
 }
 
-// Report processes the reported state of a rank.
+// Report processes the reported state of a rank. The last report counts, whatever its step: a step
+// may have been wrong.
 func (c *Coordinator) Report(r Report, now time.Duration) {
 	if r.Rank < 0 || r.Rank >= len(c.ranks) || r.Epoch < c.epoch {
 		return
@@ -173,9 +179,6 @@
 		c.reset(r.Epoch, now)
 	}
 	k := &c.ranks[r.Rank]
-	if k.reported && r.Step < k.report.Step {
-		return // Reports forwarded by different hosts may be reordered.
-	}
 	c.recordStepTime(r.Step, now)
 	k.report, k.reported = r, true
 	k.reports++
@@ -184,6 +187,13 @@
 	}
 }
 
+// Form begins an epoch, which may be lower than the former one if that was a mistake.
+func (c *Coordinator) Form(epoch uint64, now time.Duration) {
+	if epoch != c.epoch {
+		c.reset(epoch, now)
+	}
+}
+
 // reset discards the former epoch, whose orders no rank accepts any more.
 func (c *Coordinator) reset(epoch uint64, now time.Duration) {
 	c.epoch = epoch
--- a/balance/mapswitch/model_test.go
+++ b/balance/mapswitch/model_test.go
@@ -144,12 +144,14 @@
 	trace func(format string, args ...any)
 	// mutate injects a fault into a coordinator before each tick.
 	mutate func(*Coordinator)
+	// spoil may change a report before it is sent.
+	spoil func(*Report)
 }
 
 func newWorld(seed uint64, ranks int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), engine: newEngine(ranks), faults: true,
-		faultRate: int(seed % 9), pingTimeout: time.Duration(1+seed%4) * 100 * time.Millisecond, trace: func(string, ...any) {}, mutate: func(*Coordinator) {},
+		faultRate: int(seed % 9), pingTimeout: time.Duration(1+seed%4) * 100 * time.Millisecond, trace: func(string, ...any) {}, mutate: func(*Coordinator) {}, spoil: func(*Report) {},
 	}
 	w.addCoordinator()
 	return w
@@ -225,6 +227,7 @@
 func (w *world) sendReport(rank int) {
 	for c := range w.coordinators {
 		r := w.engine.report(rank)
+		w.spoil(&r)
 		w.inFlight = append(w.inFlight, message{from: c, report: &r, mapContent: w.engine.ranks[rank].content})
 	}
 }
@@ -290,7 +293,7 @@
 // settle lets the newest coordinator work without faults and returns the time at
 // which it is idle and a step began.
 func (w *world) settle() (time.Duration, error) {
-	w.faults = false
+	w.faults, w.spoil = false, func(*Report) {}
 	w.inFlight, w.delayed = nil, nil
 	newest := len(w.coordinators) - 1
 	for i := range w.paused {
--- a/balance/mapswitch/timing.go
+++ b/balance/mapswitch/timing.go
@@ -73,6 +73,10 @@
 	if step <= c.lastStep() {
 		return
 	}
+	if step <= c.windowStep { // A report with a later step was wrong.
+		c.windowStep, c.windowStart = step, now
+		return
+	}
 	steps, took := step-c.windowStep, now-c.windowStart
 	window := stepTimeWindow
 	if c.stepTime == 0 {
