A report is not believed over its link, and raises no mark alone

With a wrong digit of epoch, start time or step the group never changed its map again and served less than half; with one of the size, less while it lasted.

Cause: a report's rank moved that rank's link to the replica that sent it, so that its orders went there. Epoch and start time were marks that were only raised.

Ruled out: the guess that X-Expect-Instance or the replica's order check could prevent it (the order names the wrong link's instance, and no rank).

Change: members decides which link reaches which rank, by answers in a row that agree; a rank that two hosts claim gets no orders. Size and epoch are what more than half of the ranks name, and a step counts up to 32 beyond theirs. Answers that wait for the others are used once they agree, so that a new epoch is followed when each rank has reported, as before. Dropped answers are counted and logged.

--- a/entry/expertmaps/bench_test.go
+++ b/entry/expertmaps/bench_test.go
@@ -63,6 +63,8 @@
 		links:  make(map[id.Endpoint]*ranklink.Link), layouts: make(map[*ranklink.Link]relay.Layout),
 		groups: make(map[id.Group]*group), pending: make(map[uint64]pendingOrder),
 	}
+	s.invalid = &invalidAnswers{group: "g", log: s.log, set: s.set}
+	s.members = newMembers(s.invalid.add)
 	f := &fakeRanks{session: s, rng: rand.New(rand.NewPCG(1, 1)), levels: make([]byte, sets*experts)}
 	for i := range f.levels {
 		f.levels[i] = relay.EncodeLevel(uint64(f.rng.IntN(400)))
@@ -82,7 +84,9 @@
 			}
 			layout.Experts = append(layout.Experts, own)
 		}
-		s.handle(ranklink.Event{Link: l, Layout: &layout, State: &f.states[r]}, 0)
+		for range confirmations {
+			s.handle(ranklink.Event{Link: l, Layout: &layout, State: &f.states[r]}, 0)
+		}
 	}
 	f.group = s.groups["g"]
 	return f
--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -246,6 +246,7 @@
 		groups: make(map[id.Group]*group), pending: make(map[uint64]pendingOrder),
 		invalid: &invalidAnswers{group: c.opt.Group, log: log, set: c.opt.Metrics},
 	}
+	s.members = newMembers(s.invalid.add)
 	go s.run(ctx)
 	return s
 }
--- a/entry/expertmaps/group.go
+++ b/entry/expertmaps/group.go
@@ -52,9 +52,8 @@
 
 // rankState is the last reported state of one rank.
 type rankState struct {
-	link        *ranklink.Link
-	startMillis int64
-	running     int
+	link    *ranklink.Link
+	running int
 	// slowdown is the rank's step time relative to the usual one, from one up.
 	slowdown float64
 	// stateAt is when the last state arrived.
@@ -95,22 +94,18 @@
 	return time.Duration(float64(bytes) / linkBytesPerSecond * float64(time.Second))
 }
 
-// onState processes a state and reports whether the rank's link changed.
+// onState processes a state of the rank that the link reaches, and reports whether the rank's link
+// changed.
 func (g *group) onState(l *ranklink.Link, s *relay.State, now time.Duration) bool {
-	if s.Rank < 0 || s.Rank >= g.size {
-		return false
-	}
 	m := &g.ranks[s.Rank]
-	if s.StartMillis < m.startMillis {
-		return false
-	}
 	newLink := m.link != l
 	if newLink {
 		m.sampleState = sampleState{}
 	}
-	m.link, m.startMillis, m.running, m.slowdown, m.stateAt = l, s.StartMillis, s.Running, s.Slowdown, now
-	if s.Epoch > g.mapSwitch.Epoch() {
+	m.link, m.running, m.slowdown, m.stateAt = l, s.Running, s.Slowdown, now
+	if s.Epoch != g.mapSwitch.Epoch() {
 		g.demand.Reset()
+		g.mapSwitch.Form(s.Epoch, now)
 	}
 	g.mapSwitch.Report(mapswitch.Report{
 		Rank: s.Rank, Epoch: s.Epoch, Open: s.Open, Step: s.Step, Version: s.MapVersion,
--- a/entry/expertmaps/group_test.go
+++ b/entry/expertmaps/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,11 +18,16 @@
 	"github.com/siskinford/siskinford/wire/relay"
 )
 
-// closedLink returns a link that reaches no rank.
-func closedLink() *ranklink.Link {
+// newLink returns the link of a rank. It does not run.
+func newLink(rank int) *ranklink.Link {
+	name := fmt.Sprintf("e-%d", rank)
+	return newLinkTo(name, name)
+}
+
+func newLinkTo(host, name string) *ranklink.Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	return ranklink.Open(ctx, ranklink.Options{})
+	return ranklink.Open(ctx, ranklink.Options{Endpoint: ranklink.Endpoint{Name: id.Endpoint(name), Address: host, Relay: host}})
 }
 
 // newOpenSession returns a session whose group's ranks all reported the initial map.
@@ -34,13 +40,19 @@
 		token:  7, log: zerolog.Nop(), set: set, layouts: make(map[*ranklink.Link]relay.Layout), groups: make(map[id.Group]*group),
 		pending: make(map[uint64]pendingOrder), invalid: &invalidAnswers{group: "g", log: zerolog.Nop(), set: set},
 	}
+	s.members = newMembers(s.invalid.add)
 	content := make([][]int, ranks)
 	for e := range experts {
 		content[e%ranks] = append(content[e%ranks], e)
 	}
-	for r := range ranks {
+	links := make([]*ranklink.Link, ranks)
+	for n := range ranks * confirmations {
+		r := n % ranks
+		if links[r] == nil {
+			links[r] = newLink(r)
+		}
 		s.handle(ranklink.Event{
-			Link:   closedLink(),
+			Link:   links[r],
 			State:  &relay.State{Group: "g", Size: ranks, Rank: r, Epoch: 1, Open: true, Step: 1},
 			Layout: &relay.Layout{Epoch: 1, Experts: [][]int{content[r]}},
 		}, 0)
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -37,6 +37,7 @@
 	positions map[id.Endpoint]int
 	// layouts holds the last layout of each rank.
 	layouts map[*ranklink.Link]relay.Layout
+	members *members
 	groups  map[id.Group]*group
 	// pending maps the IDs of sent orders to the order IDs of the map switch.
 	pending   map[uint64]pendingOrder
@@ -176,6 +177,7 @@
 func (s *session) close(l *ranklink.Link) {
 	l.Close()
 	delete(s.layouts, l)
+	s.members.remove(l)
 }
 
 func (s *session) logLinkEvent(l *ranklink.Link, event string, err error) {
@@ -197,6 +199,9 @@
 }
 
 func (s *session) handle(e ranklink.Event, now time.Duration) {
+	if e.Link.Closed() {
+		e.State, e.Layout, e.Sample = nil, nil, nil
+	}
 	mapMayBeKnown := e.Layout != nil
 	if e.Layout != nil {
 		s.layouts[e.Link] = *e.Layout
@@ -226,13 +231,17 @@
 	if state.Group != s.name {
 		return false
 	}
-	g := s.group(state.Group, state.Size)
-	epoch := g.mapSwitch.Epoch()
-	newLink := g.onState(l, state, now)
-	if newLink {
-		g.chooseSampledRanks(s.positions, now)
+	changed := false
+	for _, m := range s.members.observe(l, state) {
+		g := s.group(m.state.Group, m.state.Size)
+		epoch := g.mapSwitch.Epoch()
+		newLink := g.onState(m.link, &m.state, now)
+		if newLink {
+			g.chooseSampledRanks(s.positions, now)
+		}
+		changed = changed || newLink || g.mapSwitch.Epoch() != epoch
 	}
-	return newLink || g.mapSwitch.Epoch() != epoch
+	return changed
 }
 
 func (s *session) onResult(r *relay.Result, now time.Duration) {
@@ -295,7 +304,7 @@
 }
 
 func (s *session) send(g *group, o mapswitch.Order, now time.Duration) {
-	l := g.ranks[o.Rank].link
+	l := s.members.link(o.Rank)
 	if l == nil {
 		return
 	}
@@ -304,7 +313,7 @@
 	order := relay.Order{
 		ID: s.nextOrder, Op: ops[o.Op], Epoch: o.Epoch, Version: o.Version, Step: o.Step, Experts: relay.ExpertMap(o.Map), FencingToken: s.token,
 	}
-	if via := g.ranks[o.Via].link; via != nil && via != l {
+	if via := s.members.link(o.Via); via != nil && via != l {
 		via.SendTo(l.Endpoint(), order)
 		return
 	}
--- a/entry/ranklink/link.go
+++ b/entry/ranklink/link.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,6 +102,7 @@
 	orders  chan relay.Order
 	watches chan relay.Watch
 	cancel  context.CancelFunc
+	closed  atomic.Bool
 
 	mu sync.Mutex // leaf lock
 	// unansweredSince is when the first order was sent after the relay's last message, zero
@@ -133,8 +135,14 @@
 	l.watches <- w
 }
 
-// Close stops the link without waiting for it.
-func (l *Link) Close() { l.cancel() }
+// Close stops the link without waiting for it. Events from before may still arrive.
+func (l *Link) Close() {
+	l.closed.Store(true)
+	l.cancel()
+}
+
+// Closed reports whether Close was called.
+func (l *Link) Closed() bool { return l.closed.Load() }
 
 // Send queues an order for the rank. If the queue is full the order is dropped; the caller
 // resends it.
