An empty list of tenants requires keys

Requests with the key that was taken away, and with keys that no version ever held, ran.

Cause: the decoder made an empty and a missing list the same, and the table required a key only if there was a team.

Change: the configuration says whether keys are required, apart from its teams. An empty key, which requests without a key would match, is nobody's.

FuzzDecodeConfig ran for 10 s without a finding.

--- a/entry/routes/config.go
+++ b/entry/routes/config.go
@@ -28,9 +28,11 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	// Teams is empty if no API key is required.
-	Teams  []Team
-	Limits Limits
+	// KeysRequired is true if routes that are not public require an API key. Without teams, no key
+	// is known then. Teams imply it.
+	KeysRequired bool
+	Teams        []Team
+	Limits       Limits
 }
 
 // Route maps requests of one host name and path prefix to services.
--- a/entry/routes/table.go
+++ b/entry/routes/table.go
@@ -110,6 +110,9 @@
 	for i := range t.config.Teams {
 		team := &t.config.Teams[i]
 		for _, key := range team.Keys {
+			if key == "" { // Requests without a key would be the team's.
+				continue
+			}
 			if other := t.teams[key]; other != nil && other.Name != team.Name {
 				found.Addf(fmt.Sprintf("teams[%d] %q", i, string(team.Name)), "shares a key with team %q", string(other.Name))
 			}
@@ -147,7 +150,7 @@
 }
 
 // RequiresKey reports whether routes that are not public require an API key.
-func (t *Table) RequiresKey() bool { return len(t.config.Teams) > 0 }
+func (t *Table) RequiresKey() bool { return t.config.KeysRequired || len(t.config.Teams) > 0 }
 
 // Team returns the team that holds a key, or nil.
 func (t *Table) Team(key string) *Team { return t.teams[key] }
