A silent watch ends within the stable window

Cause: a watch lasted up to 1.5 times the bound of a change and a second more. The assumption that entries renew their watches at different times does not hold after a change, which ends all of them at once. Endpoints and evacuations are watched with the same time.

Ruled out: keep-alive probes, which give up later.

Change: the stable window of the settings bounds the timeout of a watch with its grace and the time until the next watch has the missed changes.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -82,6 +82,10 @@
 	StoreAddress string
 	// MaxConfigDelay is the time within which a new configuration must be in force. Default: 2 s.
 	MaxConfigDelay time.Duration
+	// StableWindow is the time after the loss of connections to the platform from which on
+	// MaxConfigDelay holds again. Connections may fall silent without a reset, all at the same time.
+	// Default: one and a half times MaxConfigDelay.
+	StableWindow time.Duration
 	// RedirectIsolated makes an entry that is cut off send its callers to entries in other zones.
 	RedirectIsolated bool
 	// EvacuationDelay is the time within which an evacuated zone must get no more requests. Zero if
@@ -195,6 +199,9 @@
 	if cfg.MaxConfigDelay <= 0 {
 		cfg.MaxConfigDelay = defaultMaxConfigDelay
 	}
+	if cfg.StableWindow <= 0 {
+		cfg.StableWindow = cfg.MaxConfigDelay + cfg.MaxConfigDelay/2
+	}
 	if !cfg.AdvertiseAddress.IsValid() {
 		cfg.AdvertiseAddress = cfg.PeerListen
 	}
@@ -203,7 +210,7 @@
 	var err error
 	e.store, err = objectapi.NewClient(objectapi.ClientConfig{
 		BaseURL: "http://" + cfg.StoreAddress, Caller: string(cfg.Host), Protocol: a.Protocol,
-		CallTimeout: storeCallTimeout, KeepAlive: storeKeepAlive, Source: cfg.Source,
+		CallTimeout: storeCallTimeout, PollGrace: watchGrace, KeepAlive: storeKeepAlive, Source: cfg.Source,
 		Backoff: objectapi.Backoff{Min: storeBackoffMin, Max: storeBackoffMax}, OnRestore: e.onStoreRestored,
 	})
 	if err != nil {
@@ -239,22 +246,36 @@
 const (
 	// aloneWatchFraction and fleetWatchFraction are the long-poll timeouts as fractions
 	// of the time within which a change must be in force. A watch may miss a change; a fleet tolerates longer timeouts,
-	// as its entries renew their watches at different times.
+	// as its entries renew their watches at different times. After a change they all renew them at
+	// once, so that connections which fall silent then delay all entries alike: see watchWait.
 	aloneWatchFraction = 0.75
 	fleetWatchFraction = 1.5
 	// watchJitter is the maximum fraction by which a timeout is randomly shortened.
 	watchJitter = 0.25
+	// watchGrace is the time after the timeout of a watch after which its connection counts as dead.
+	watchGrace = time.Second
+	// watchRenewal bounds the time from there until a new watch has the changes that were missed:
+	// storeBackoffMin, a place within watchRate, and the call.
+	watchRenewal = 300 * time.Millisecond
+	// minWatchWait bounds the rate of watches if StableWindow is short.
+	minWatchWait = 250 * time.Millisecond
 )
 
 // watchWait returns the long-poll timeout of the next watch of objects whose changes must be in
 // force within a time.
 func (e *Edge) watchWait(limit time.Duration) time.Duration {
-	fraction := aloneWatchFraction
-	if len(e.mesh.Alive()) > 0 {
-		fraction = fleetWatchFraction
+	return watchWait(limit, e.cfg.StableWindow, len(e.mesh.Alive()) == 0, watchJitter*rand.Float64())
+}
+
+// watchWait returns the long-poll timeout, shortened by the fraction jitter. If the connection of
+// the watch falls silent, its successor has the changes within the stable window.
+func watchWait(limit, stableWindow time.Duration, alone bool, jitter float64) time.Duration {
+	fraction := fleetWatchFraction
+	if alone {
+		fraction = aloneWatchFraction
 	}
-	fraction *= 1 - watchJitter*rand.Float64()
-	return time.Duration(fraction * float64(limit))
+	longest := max(stableWindow-watchGrace-watchRenewal, minWatchWait)
+	return time.Duration((1 - jitter) * float64(min(time.Duration(fraction*float64(limit)), longest)))
 }
 
 func (e *Edge) newMesh() error {
