Counts of an engine in the configuration are bounded

What callers would see: a version with a negative number of experts a rank ends every entry at the first plan; one with billions of experts takes its memory.

Cause: only the engine's slots were checked, and only against zero. The numbers of sets, experts and experts a rank are lengths of the planner's lists.

Change: a version out of these bounds is rejected with the field; the last one holds.

--- a/entry/routes/config.go
+++ b/entry/routes/config.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/siskinford/siskinford/core/finding"
 	"github.com/siskinford/siskinford/core/id"
 )
 
@@ -133,6 +134,42 @@
 	return time.Duration(max(e.StepsPerPass, 1)) * e.FullLoadStepTime()
 }
 
+// Bounds of an engine's counts, which become lengths of lists.
+const (
+	maxEngineSlots = 1 << 20
+	maxLayerSets   = 1 << 10
+	maxExperts     = 1 << 14
+)
+
+func (e *Engine) validate() finding.List {
+	var l finding.List
+	if e.Slots <= 0 {
+		l.Addf(".slots", "%d is not positive", e.Slots)
+	}
+	if e.Slots > maxEngineSlots {
+		l.Addf(".slots", "%d is more than %d", e.Slots, maxEngineSlots)
+	}
+	x := e.Experts
+	if x == nil {
+		return l
+	}
+	for _, c := range []struct {
+		place         string
+		value, lowest int
+		highest       int
+	}{
+		{".layerSets", x.LayerSets, 1, maxLayerSets},
+		{".expertsPerSet", x.ExpertsPerSet, 1, maxExperts},
+		{".slotsPerRank", x.SlotsPerRank, 0, maxExperts},
+		{".newPerMap", x.MaxNewPerMap, 0, maxExperts},
+	} {
+		if c.value < c.lowest || c.value > c.highest {
+			l.Addf(c.place, "%d is not between %d and %d", c.value, c.lowest, c.highest)
+		}
+	}
+	return l
+}
+
 // Experts describes the experts of a group of ranks.
 type Experts struct {
 	// LayerSets is the number of sets of layers, each with experts of its own.
--- a/entry/routes/table.go
+++ b/entry/routes/table.go
@@ -47,8 +47,8 @@
 		if t.services[s.Name] != nil {
 			found.Addf(place, "is defined twice")
 		}
-		if e := s.Engine; e != nil && e.Slots <= 0 {
-			found.Addf(place+".engine.slots", "%d is not positive", e.Slots)
+		if s.Engine != nil {
+			found.Merge(place+".engine", s.Engine.validate())
 		}
 		s.RoutePriorities = nil
 		if s.ColdRate < 0 || s.ColdStart < 0 {
