A panic in a group's coordination ends no entry

Cause: the session's goroutine has no caller, so that its panic ends the process.

Change: the session recovers, logs with the stack and counts. Its token is never used again, as versions of maps under it may be in use: the coordinator releases the lease and acts once it holds another token, also if the release has to be repeated because the store is away.

Measured: TestCoordinatorOutlivesPanic passes with three panics and one while the store is away; without the recovery the first one ends the test's process.

--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -138,6 +138,9 @@
 	duty  duty.Name
 	lease *duty.Lease
 	token atomic.Uint64
+	// abandoned is the token of the last session that failed. Versions of maps under it may be in
+	// use, so that no other session acts under it.
+	abandoned uint64
 }
 
 // New returns a coordinator that is started by Run.
@@ -173,6 +176,9 @@
 		if err := c.checkLease(ctx, n); err != nil && ctx.Err() == nil {
 			c.opt.Log.Warn().Err(err).Str("event", "lease.unclear").Str("service", string(c.opt.Service)).Str("group", string(c.opt.Group)).Send()
 		}
+		if current != nil && current.failed.Load() {
+			c.abandoned, running, current = running, 0, nil
+		}
 		token := c.currentToken(running)
 		if token != running {
 			if token == 0 && c.lease.Holder() == "" {
@@ -200,7 +206,7 @@
 // renewals fail keeps acting while no other holder is known: the lease cannot be acquired
 // while the platform is down, and two coordinators at a time do no harm.
 func (c *Coordinator) currentToken(running uint64) uint64 {
-	if token, held := c.lease.Valid(time.Now()); held {
+	if token, held := c.lease.Valid(time.Now()); held && token != c.abandoned {
 		c.token.Store(token)
 		return token
 	}
@@ -218,8 +224,10 @@
 // holder announces that it acts, it is read only once in checksPerRead checks.
 func (c *Coordinator) checkLease(ctx context.Context, n int) error {
 	holder := c.lease.Holder()
-	_, held := c.lease.Valid(time.Now())
+	token, held := c.lease.Valid(time.Now())
 	switch {
+	case held && token == c.abandoned:
+		return c.lease.Release(ctx) // The next acquisition has another token.
 	case held && n%checksPerRenewal != 0:
 		return nil
 	case holder != "" && holder != c.opt.Holder && c.opt.Peers.Acting(holder, c.duty) && n%checksPerRead != 0:
--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +33,8 @@
 	cancel context.CancelFunc
 	// leave is closed to end the session once it holds no group; ended is closed at its end.
 	leave, ended chan struct{}
+	// failed is set if the session ended by a panic.
+	failed atomic.Bool
 
 	events chan ranklink.Event
 	links  map[id.Endpoint]*ranklink.Link
@@ -103,6 +108,7 @@
 func (s *session) run(ctx context.Context) {
 	defer close(s.ended)
 	defer s.cancel()
+	defer s.recoverPanic()
 	leave := s.leave
 	var finishBy <-chan time.Time
 	began := time.Now()
@@ -138,6 +144,19 @@
 	}
 }
 
+// recoverPanic keeps a panic of the session from ending the process, whose clients have nothing to
+// do with it.
+func (s *session) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	s.failed.Store(true)
+	s.set.GetOrCreateCounter(fmt.Sprintf("siskinford_panics_total{task=\"expert_maps\",group=%q}", string(s.name))).Inc()
+	s.log.Error().Str("event", "task.panicked").Interface("panic", p).Bytes("stack", debug.Stack()).
+		Msg("the coordination of a group's maps failed; it begins again under another lease")
+}
+
 // relist opens links to new endpoints and closes links to removed ones.
 func (s *session) relist(ctx context.Context, now time.Duration) {
 	s.positions = make(map[id.Endpoint]int)
--- a/itest/maps/coordinator_test.go
+++ b/itest/maps/coordinator_test.go
@@ -104,11 +104,16 @@
 
 // startCoordinator runs a coordinator until stop is called or the test ends.
 func (s *site) startCoordinator(holder string, p *peers) (c *expertmaps.Coordinator, stop func()) {
+	s.t.Helper()
+	return s.startListing(holder, p, func() []ranklink.Endpoint { return s.endpoints })
+}
+
+func (s *site) startListing(holder string, p *peers, list func() []ranklink.Endpoint) (c *expertmaps.Coordinator, stop func()) {
 	s.t.Helper()
 	c, err := expertmaps.New(expertmaps.Options{
 		Service: "m", Group: "g", Holder: holder, Store: s.store, Peers: p,
 		Engine:       &routes.Engine{Slots: 8, Experts: &routes.Experts{LayerSets: 2, ExpertsPerSet: 16, SlotsPerRank: 6, MaxNewPerMap: 2, ExpertBytes: 1, LinkBitsPerSecond: 1000}},
-		List:         func() []ranklink.Endpoint { return s.endpoints },
+		List:         list,
 		EngineClient: func(string) relay.Engine { return unreachable{} },
 		Log:          zerolog.Nop(), Metrics: metrics.NewSet(),
 	})
@@ -190,6 +195,34 @@
 	s.await("the coordinator stops", 4*time.Second, func() bool { return c.FencingToken() == 0 })
 }
 
+// TestCoordinatorOutlivesPanic guards against a panic in the coordination of a group that ends the
+// entry with all its clients' requests. The coordination goes on, under another token.
+func TestCoordinatorOutlivesPanic(t *testing.T) {
+	s := newSite(t)
+	var fail atomic.Bool
+	c, stop := s.startListing("h1", &peers{}, func() []ranklink.Endpoint {
+		if fail.Swap(false) {
+			panic("the list is broken")
+		}
+		return s.endpoints
+	})
+	defer stop()
+	s.awaitBalance(10 * time.Second)
+	for range 3 {
+		before, switches := c.FencingToken(), s.group.Status().MapSwitches
+		fail.Store(true)
+		s.await("another token", 3*time.Second, func() bool { return c.FencingToken() > before })
+		s.group.ShiftPopularity()
+		s.await("a map for the new demand", 3*time.Second, func() bool { return s.group.Status().MapSwitches > switches })
+	}
+	s.store.SetDown(true)
+	fail.Store(true)
+	s.await("the coordinator stops", 3*time.Second, func() bool { return c.FencingToken() == 0 })
+	s.store.SetDown(false)
+	s.await("the coordinator acts again", 10*time.Second, func() bool { return c.FencingToken() > 0 })
+	s.awaitBalance(5 * time.Second)
+}
+
 // TestTwoCoordinatorsAtATime verifies that no pass begins with two maps while two
 // coordinators plan.
 func TestTwoCoordinatorsAtATime(t *testing.T) {
