One wrong name of a group moves no endpoint

What callers would see: no change of the map for a second or more, and a group held by a change in progress.

Cause: the roster took the group of each report as it came. The coordinator of the rank's group closed its link, and a coordinator of a group that does not exist took a lease, which it kept.

Change: an endpoint changes its group once two answers in a row name the new one. A new endpoint gets its group by its first answer, as before.

Measured: TestOneWrongNameMovesNoEndpoint fails without the second answer.

--- a/entry/roster/collector.go
+++ b/entry/roster/collector.go
@@ -35,13 +35,16 @@
 
 	links     map[id.Endpoint]*ranklink.Link
 	collected map[id.Endpoint]Rank
+	// renamed holds the group that the last answer of an endpoint named, if it is another one than
+	// that of collected.
+	renamed map[id.Endpoint]id.Group
 }
 
 // Run collects until ctx ends.
 func (c *Collector) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Closes the links.
-	c.links, c.collected = make(map[id.Endpoint]*ranklink.Link), make(map[id.Endpoint]Rank)
+	c.init()
 	events := make(chan ranklink.Event, eventQueue)
 	tick := time.NewTicker(publishInterval)
 	defer tick.Stop()
@@ -52,7 +55,7 @@
 			return
 		case e := <-events:
 			if e.State != nil && e.State.Group != "" {
-				c.collected[e.Link.Endpoint().Name] = newRank(e.State.Group, e.State.Slowdown)
+				c.record(e.Link.Endpoint().Name, e.State)
 			}
 		case <-tick.C:
 			c.relist(ctx, events)
@@ -61,6 +64,23 @@
 	}
 }
 
+func (c *Collector) init() {
+	c.links, c.collected = make(map[id.Endpoint]*ranklink.Link), make(map[id.Endpoint]Rank)
+	c.renamed = make(map[id.Endpoint]id.Group)
+}
+
+// record records the state of a rank. An endpoint changes its group once two answers in a row name
+// the new one: a wrong name would take the rank from its group's coordinator.
+func (c *Collector) record(name id.Endpoint, s *relay.State) {
+	known, ok := c.collected[name]
+	if ok && known.Group != s.Group && c.renamed[name] != s.Group {
+		c.renamed[name] = s.Group
+		return
+	}
+	delete(c.renamed, name)
+	c.collected[name] = newRank(s.Group, s.Slowdown)
+}
+
 // relist opens links to new endpoints and closes links to removed ones.
 func (c *Collector) relist(ctx context.Context, events chan<- ranklink.Event) {
 	listed := make(map[id.Endpoint]bool)
@@ -82,6 +102,7 @@
 			l.Close()
 			delete(c.links, name)
 			delete(c.collected, name)
+			delete(c.renamed, name)
 		}
 	}
 }
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/core/id"
+	"github.com/siskinford/siskinford/wire/relay"
 )
 
 func allListed(id.Endpoint) bool { return true }
@@ -50,3 +51,23 @@
 	assert.ErrorContains(t, b.Update(1<<40, []byte("x")), "roster")
 	assert.Equal(t, b.Ranks()["x"].Slowdown, 1.0)
 }
+
+// TestOneWrongNameMovesNoEndpoint guards against one wrong letter in a report's group: the rank's
+// own coordinator loses it, and another one is started for a group that does not exist.
+func TestOneWrongNameMovesNoEndpoint(t *testing.T) {
+	c := &Collector{}
+	c.init()
+	state := func(group id.Group) *relay.State { return &relay.State{Group: group, Size: 1, Slowdown: 1} }
+	c.record("a", state("g"))
+	for range 3 {
+		c.record("a", state("w"))
+		assert.Equal(t, c.collected["a"].Group, id.Group("g"))
+		c.record("a", state("g"))
+		assert.Equal(t, c.collected["a"].Group, id.Group("g"))
+	}
+	c.record("a", state("w"))
+	c.record("a", state("x"))
+	assert.Equal(t, c.collected["a"].Group, id.Group("g"))
+	c.record("a", state("x"))
+	assert.Equal(t, c.collected["a"].Group, id.Group("x"), "a change that is confirmed is followed")
+}
