--- a/entry/expertmaps/session.go
+++ b/entry/expertmaps/session.go
@@ -157,6 +157,11 @@
 		Msg("the coordination of a group's maps failed; it begins again under another lease")
 }
 
+// shape returns what layouts and samples of the ranks must fit.
+func (s *session) shape() relay.Shape {
+	return relay.Shape{LayerSets: s.engine.Experts.LayerSets, ExpertsPerSet: s.engine.Experts.ExpertsPerSet}
+}
+
 // relist opens links to new endpoints and closes links to removed ones.
 func (s *session) relist(ctx context.Context, now time.Duration) {
 	s.positions = make(map[id.Endpoint]int)
@@ -188,11 +193,6 @@
 	}
 }
 
-// shape returns what layouts and samples of the ranks must fit.
-func (s *session) shape() relay.Shape {
-	return relay.Shape{LayerSets: s.engine.Experts.LayerSets, ExpertsPerSet: s.engine.Experts.ExpertsPerSet}
-}
-
 func (s *session) close(l *ranklink.Link) {
 	l.Close()
 	delete(s.layouts, l)
