Relays do not read layouts again while they switch

The group stood held up to 4.3 s.

Cause, suspected: since answers are checked, relays read the layout again each second. At a slow host that is a call beside those of the hold, the ping and the arm order, which have 100 ms.

Change: the layout is read again only if no order but prepare came within the change window, and every two seconds.

Without the condition TestLayoutIsNotReadWhileSwitching fails.

--- a/agent/relay/relay.go
+++ b/agent/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinford/siskinford/wire/relay"
@@ -105,6 +106,9 @@
 	watches chan relay.Watch
 	// ordered signals the sampler that an order was received.
 	ordered chan struct{}
+	// switchedAt is when the last order to hold or switch a step was received, in nanoseconds since
+	// the Unix epoch.
+	switchedAt atomic.Int64
 	// orders counts the orders whose result has not been sent, places bounds them.
 	orders sync.WaitGroup
 	places chan struct{}
@@ -145,6 +149,9 @@
 		x.server.intake.note(x.conn, time.Now())
 		switch {
 		case m.Order != nil:
+			if m.Order.Op != relay.Prepare {
+				x.switchedAt.Store(time.Now().UnixNano())
+			}
 			select {
 			case x.ordered <- struct{}{}:
 			default: // A signal is already pending.
--- a/agent/relay/relay_test.go
+++ b/agent/relay/relay_test.go
@@ -29,8 +29,8 @@
 	orders    []relay.Order
 	// other is the rank at any other address.
 	other *fakeEngine
-	// stateCalls and countsCalls are the numbers of calls of State and Counts.
-	stateCalls, countsCalls int
+	// stateCalls, countsCalls and layoutCalls are the numbers of calls of State, Counts and Layout.
+	stateCalls, countsCalls, layoutCalls int
 }
 
 // awaitCounts waits until Counts was called n times.
@@ -84,6 +84,7 @@
 func (e *fakeEngine) Layout(context.Context) (relay.Layout, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.layoutCalls++
 	experts := e.experts
 	if experts == nil {
 		experts = [][]int{{0, 1}}
@@ -356,3 +357,24 @@
 	sample := x.next("sample", func(m relay.FromRelay) bool { return m.Sample != nil }).Sample
 	assert.Equal(t, sample.To, uint64(9))
 }
+
+// TestLayoutIsNotReadWhileSwitching guards against a call beside the orders of a switch, which delays
+// the answer to a ping at a slow host, so that the change is undone.
+func TestLayoutIsNotReadWhileSwitching(t *testing.T) {
+	e := &fakeEngine{state: relay.State{Group: "g", Epoch: 2, Step: 5, Open: true}}
+	x := connect(t, e)
+	x.send(relay.ToRelay{Watch: &relay.Watch{StateMillis: 10, LayoutMillis: 10}})
+	x.next("layout", func(m relay.FromRelay) bool { return m.Layout != nil })
+	x.send(relay.ToRelay{Order: &relay.Order{ID: 1, Op: relay.Hold, Step: 9}})
+	x.next("result", func(m relay.FromRelay) bool { return m.Result != nil })
+	calls := func() (n int) {
+		e.set(func() { n = e.layoutCalls })
+		return n
+	}
+	before := calls()
+	time.Sleep(changeWindow / 2)
+	assert.Equal(t, calls(), before)
+	for end := time.Now().Add(3 * time.Second); calls() == before; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the layout was not read again after the switch")
+	}
+}
--- a/agent/relay/sample.go
+++ b/agent/relay/sample.go
@@ -134,7 +134,9 @@
 		return true
 	}
 	interval := time.Duration(s.watch.LayoutMillis) * time.Millisecond
-	return interval > 0 && now.Sub(s.layoutAt) >= max(interval, minLayoutInterval)
+	// A group is held for a few round trips, in which a slow host has no time for another call.
+	switching := now.Sub(time.Unix(0, s.session.switchedAt.Load())) < changeWindow
+	return interval > 0 && !switching && now.Sub(s.layoutAt) >= max(interval, minLayoutInterval)
 }
 
 func sameLayout(a, b relay.Layout) bool {
--- a/entry/expertmaps/coordinator.go
+++ b/entry/expertmaps/coordinator.go
@@ -45,7 +45,7 @@
 	// unless the demand changes. Default: 1 s.
 	ReplanHoldoff time.Duration
 	// LayoutInterval is the interval at which relays read the experts on their rank again. Default:
-	// 1 s.
+	// 2 s.
 	LayoutInterval time.Duration
 	// MaxCopyTime bounds the time for which a rank copies experts in one change; it may copy
 	// one in any case. Passes take longer while ranks copy, and the map gets older. Default:
@@ -70,7 +70,7 @@
 	setDefault(&c.MaxDemandAge, time.Second)
 	setDefault(&c.PlanInterval, 40*time.Millisecond)
 	setDefault(&c.ReplanHoldoff, time.Second)
-	setDefault(&c.LayoutInterval, time.Second)
+	setDefault(&c.LayoutInterval, 2*time.Second)
 	setDefault(&c.MaxCopyTime, 60*time.Millisecond)
 	setDefault(&c.MinTotalGain, 0.64)
 	setDefault(&c.MinSkewReduction, 0.04)
