--- a/review/11/stage/main.go
+++ b/review/11/stage/main.go
@@ -20,9 +20,9 @@
 var cases = map[string]func(*site) (broken bool, err error){
 	"ids":     playIDs,
 	"drill":   playDrill,
-	"ahead":   playAhead,
 	"silence": playSilence,
 	"crowd":   playCrowd,
+	"parts":   playParts,
 }
 
 // longest is the time after which a case that has not ended could not run.
