Silent attempts are ended only once another endpoint has gone on

Idempotent requests with a target of 0.5 s got 502 after 1.0 s from a sole endpoint that answers after 1.2 s.

Cause: the timeouts for silence ended the attempt, and only then looked for another endpoint. They did not ask whether there is one that takes the request.

Ruled out: a check for a free endpoint before the cut. One that takes the request may still refuse, break off or be silent. The planned stop is not involved: the other entry cut the same streams.

Change: a silent attempt is hedged. After the same time as before, the request is sent to another endpoint beside the first attempt, which ends when the other one has delivered the next event or the whole answer.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -12,12 +12,6 @@
 	"github.com/siskinford/siskinford/entry/upstream"
 )
 
-// attemptTimeoutTargets is the attempt timeout as a multiple of the target latency, while
-// a further attempt is allowed.
-const attemptTimeoutTargets = 2
-
-var errAttemptTimeout = errors.New("the endpoint gave no answer in time")
-
 // serveBuffered sends the request to endpoints until one returns a complete response.
 func (h *Handler) serveBuffered(ctx context.Context, w http.ResponseWriter, q *request) {
 	var (
@@ -46,7 +40,7 @@
 			slot.Release(Neutral)
 			continue
 		}
-		resp, err = h.attemptBuffered(ctx, q, slot)
+		resp, slot, err = h.attemptBuffered(ctx, q, slot)
 		q.service.quarantine.end(q)
 		if err != nil {
 			v, ok := q.service.quarantine.admit(ctx, q)
@@ -66,23 +60,12 @@
 	}
 }
 
-// attemptBuffered sends the request once and buffers the response.
-func (h *Handler) attemptBuffered(ctx context.Context, q *request, slot *Slot) (resp *response, err error) {
+// exchangeBuffered sends the request once and buffers the response.
+func (h *Handler) exchangeBuffered(ctx context.Context, q *request, slot *Slot, fresh bool) (resp *response, err error) {
 	outcome := Neutral
 	defer func() { slot.Release(outcome) }()
-	if limit, ok := q.attemptTimeout(); ok {
-		var cancel context.CancelCauseFunc
-		ctx, cancel = context.WithCancelCause(ctx)
-		defer cancel(nil)
-		timer := time.AfterFunc(limit, func() {
-			if q.reserveRetry() {
-				cancel(errAttemptTimeout)
-			}
-		})
-		defer timer.Stop()
-	}
 	p := &progress{sentAt: time.Now()}
-	x, err := h.send(ctx, q, slot, "")
+	x, err := h.send(ctx, q, slot, "", fresh)
 	if err != nil {
 		outcome = outcomeOf(err)
 		h.recordLoss(ctx, q, slot, p, err)
@@ -99,30 +82,22 @@
 	return resp, err
 }
 
-// attemptTimeout returns the attempt's timeout, false if only the request's deadline
-// applies.
-func (q *request) attemptTimeout() (time.Duration, bool) {
-	if !q.mayRepeatNext() || q.route.TargetLatency <= 0 {
-		return 0, false
-	}
-	limit := attemptTimeoutTargets * q.route.TargetLatency
-	return limit, limit < time.Until(q.deadline)*3/4
-}
-
 // outcomeOf returns the outcome of a failed exchange.
 func outcomeOf(err error) Outcome {
-	if errors.Is(err, errStreamSilent) || errors.Is(err, errAttemptTimeout) {
+	if errors.Is(err, errHedged) {
 		return Hung
 	}
-	if errors.Is(err, errZoneEvacuated) || errors.Is(err, errQuarantined) || errors.Is(err, errStopping) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, errZoneEvacuated) || errors.Is(err, errQuarantined) || errors.Is(err, errStopping) || errors.Is(err, errNotHedged) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return Neutral
 	}
 	return Failed
 }
 
-// send sends the request to the slot's endpoint and counts it unless no byte was written.
-func (h *Handler) send(ctx context.Context, q *request, slot *Slot, lastEvent string) (*upstream.Exchange, error) {
-	h.requestLog.chosen(q, slot)
+// send sends the request to the slot's endpoint, over a new connection if fresh is true, and counts it unless no
+// byte was written.
+func (h *Handler) send(ctx context.Context, q *request, slot *Slot, lastEvent string, fresh bool) (*upstream.Exchange, error) {
+	try := q.start()
+	h.requestLog.chosen(q, slot, try)
 	header := q.header.Clone()
 	f := ForwardInfo{
 		Endpoint: slot.Backend.Name, Remaining: time.Until(q.deadline), Priority: q.endpointPriority(), LastEvent: lastEvent,
@@ -136,18 +111,18 @@
 	// before use a new one. So do further tries of those that may run once: on a connection that
 	// carried an earlier try, a late copy of its refusal could be taken for the answer.
 	once := !q.route.Retryable()
-	fresh := q.route.Kind == routes.NonIdempotent || len(q.excluded) > 0 || once && q.sent > 0
+	fresh = fresh || q.route.Kind == routes.NonIdempotent || q.hasExcluded() || once && try > 1
 	x, err := slot.Backend.Pool.Do(ctx, out, fresh)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
+		q.notSent()
 		if ctx.Err() == nil && !errors.Is(err, errZoneEvacuated) && !errors.Is(err, intake.ErrDescriptors) {
 			q.service.MarkUnreachable(slot.Backend.Name)
 		}
 		return nil, err
 	}
-	q.sent++
 	if err != nil {
-		q.mayHaveRun = true
+		q.setMayHaveRun()
 		slot.Backend.Pool.CloseIdle()
 	}
 	return x, err
@@ -158,13 +133,13 @@
 func (h *Handler) checkResponse(q *request, slot *Slot, x *upstream.Exchange) (ResponseInfo, error) {
 	info, err := h.ownResponse(q, slot, x)
 	if err != nil {
-		q.mayHaveRun = true
+		q.setMayHaveRun()
 		return info, err
 	}
 	q.service.recordBackOff(slot, info, q.info.ID)
 	r := x.Response
 	if !info.NotRun {
-		q.mayHaveRun = true
+		q.setMayHaveRun()
 	}
 	switch {
 	case r.StatusCode < 300 && !info.Signed:
@@ -209,39 +184,17 @@
 // breaker to close, if few requests wait.
 const maxGroupDownRetries = 8
 
-// mayRepeatNext reports whether the next attempt may be repeated at another endpoint even if it
-// was executed, apart from the budget.
-func (q *request) mayRepeatNext() bool {
-	return q.route.Retryable() && q.sent+1-q.groupDownRefusals < q.route.MaxAttempts
-}
-
-// reserveRetry takes a retry from the budget before a silent attempt is ended, and reports
-// whether there was one. Silence alone is no reason to end an attempt that cannot be repeated.
-// It may be called by another goroutine while the attempt runs.
-func (q *request) reserveRetry() bool {
-	if !q.service.AcquireRetry() {
-		return false
-	}
-	q.retryReserved.Store(true)
-	return true
-}
-
-// takeRetry takes a retry that was reserved, or one from the budget.
-func (q *request) takeRetry() bool {
-	return q.retryReserved.Swap(false) || q.service.AcquireRetry()
-}
-
 // acquireRetry reports whether to retry the request after an attempt. It takes the retry
 // from the budget, unless nothing was sent.
 func (h *Handler) acquireRetry(q *request, slot *Slot, resp *response, err error) bool {
 	h.recordRefusal(q, slot, resp)
 	why := q.retryReason(resp, err)
 	var notSent *upstream.NotSentError
-	if why == "" || (!errors.As(err, &notSent) && !q.takeRetry()) {
+	if why == "" || (!errors.As(err, &notSent) && !q.service.AcquireRetry()) {
 		return false
 	}
 	if !resp.groupDown() && !errors.Is(err, errZoneEvacuated) {
-		q.excluded = append(q.excluded, slot.Backend.Name)
+		q.exclude(slot.Backend.Name)
 	}
 	h.requestLog.repeated(q, slot.Backend.Name, err, why)
 	return true
@@ -252,12 +205,11 @@
 	if resp == nil || !resp.info.NotRun {
 		return
 	}
-	q.refused++
+	q.addRefusal(resp.groupDown())
 	if resp.info.WrongInstance {
 		q.service.MarkReplaced(slot.Backend.Name)
 	}
 	if resp.groupDown() {
-		q.groupDownRefusals++
 		q.service.ReportGroupDown(slot.Backend.Name)
 	}
 }
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -155,6 +155,18 @@
 	began time.Time
 	// deadline is the earlier of the client's and the route's deadline.
 	deadline time.Time
+	attemptCounts
+	// parts are the shared parts of the prompt.
+	parts []id.Part
+	// trial is true while the request is the trial of a part, running while it is at an endpoint;
+	// guarded by partQuarantine.mu.
+	trial, running bool
+}
+
+// attemptCounts counts the attempts of a request. Methods lock it while a hedge may run beside the first attempt; once
+// both have ended, the goroutine of the request reads the fields.
+type attemptCounts struct {
+	mu sync.Mutex // leaf lock
 	// sent is the number of endpoints that may have received the request.
 	sent int
 	// refused is the number of them that will not execute it.
@@ -163,15 +175,73 @@
 	groupDownRefusals int
 	// mayHaveRun is true after an attempt that may have been executed.
 	mayHaveRun bool
-	// retryReserved is true while a retry was taken from the budget and not yet used.
-	retryReserved atomic.Bool
 	// excluded lists the endpoints that must not be tried again.
 	excluded []id.Endpoint
-	// parts are the shared parts of the prompt.
-	parts []id.Part
-	// trial is true while the request is the trial of a part, running while it is at an endpoint;
-	// guarded by partQuarantine.mu.
-	trial, running bool
+}
+
+// start counts an attempt that is about to be sent and returns its number.
+func (a *attemptCounts) start() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent++
+	return a.sent
+}
+
+// notSent takes back an attempt of which no byte was sent.
+func (a *attemptCounts) notSent() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent--
+}
+
+// sentCount returns the number of endpoints that may have received the request.
+func (a *attemptCounts) sentCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sent
+}
+
+// counted returns the attempts that count for the route's limit.
+func (a *attemptCounts) counted() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sent - a.groupDownRefusals
+}
+
+func (a *attemptCounts) setMayHaveRun() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mayHaveRun = true
+}
+
+// addRefusal counts an attempt that will not be executed.
+func (a *attemptCounts) addRefusal(groupDown bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused++
+	if groupDown {
+		a.groupDownRefusals++
+	}
+}
+
+// exclude keeps further attempts from an endpoint.
+func (a *attemptCounts) exclude(name id.Endpoint) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.excluded = append(a.excluded, name)
+}
+
+func (a *attemptCounts) hasExcluded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.excluded) > 0
+}
+
+// excludedAnd returns the excluded endpoints and another one.
+func (a *attemptCounts) excludedAnd(name id.Endpoint) []id.Endpoint {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append(slices.Clone(a.excluded), name)
 }
 
 // ServeHTTP implements http.Handler.
--- /dev/null
+++ b/entry/direct/hedge_test.go
@@ -0,0 +1,240 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/siskinford/siskinford/balance/scheduler"
+	"github.com/siskinford/siskinford/entry/routes"
+)
+
+// pauseAfter streams the events after the client's last one up to end. Before the event that follows the given one
+// it waits until pause returns.
+func pauseAfter(after, end int, pause func(r *http.Request)) script {
+	return func(_ int, w http.ResponseWriter, r *http.Request) {
+		first, _ := strconv.Atoi(r.Header.Get("Last-Event"))
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Request", r.Header.Get("Request"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := first + 1; i <= end; i++ {
+			if i == after+1 {
+				pause(r)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// sleep returns a pause of a duration, which ends with the request.
+func sleep(d time.Duration) func(*http.Request) {
+	return func(r *http.Request) {
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// keepActive keeps the service active for the time of a test, as other streams would.
+func keepActive(t *testing.T, s *Service) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+				s.lastEvent.Store(int64(s.now()))
+			}
+		}
+	})
+	t.Cleanup(func() {
+		close(done)
+		wg.Wait()
+	})
+}
+
+// TestSilentStreamGoesOnUnlessTaken guards against streams that are cut for their silence although no other endpoint
+// goes on with them: there is none, the only other one is full, refuses, fails, is silent too or cannot be reached.
+func TestSilentStreamGoesOnUnlessTaken(t *testing.T) {
+	const pause = 1600 * time.Millisecond
+	for place, after := range map[string]int{"before its first event": 0, "between its events": 2} {
+		for name, other := range map[string]script{
+			"no other":         nil,
+			"other is full":    events(3, 0, 0),
+			"other refuses":    respond(503, "Not-Run: 1"),
+			"other fails":      respond(500, "Signed: yes"),
+			"other breaks off": cutOff(""),
+			"other is silent":  hang,
+			"other is gone":    events(3, 0, 0),
+			"other skips":      func(_ int, w http.ResponseWriter, _ *http.Request) { writeStream(w, 4, 5) },
+			"other has a text": respond(200, "Signed: yes", "Content-Type: text/plain"),
+		} {
+			if after == 0 && (name == "other skips" || name == "other has a text") {
+				continue // Without an event before it, any answer is the stream.
+			}
+			t.Run(place+", "+name, func(t *testing.T) {
+				t.Parallel()
+				a := newBackend(t, "a", pauseAfter(after, 3, sleep(pause)))
+				backends := []*backend{a}
+				if other != nil {
+					backends = append(backends, newBackend(t, "b", other))
+				}
+				e := newEntry(t, stream, backends...)
+				s := e.handler.Service("s")
+				keepActive(t, s)
+				if other != nil {
+					s.MarkUnreachable("b") // Makes a the first choice.
+				}
+				result := make(chan reply, 1)
+				go func() { result <- e.send(http.MethodPost) }()
+				time.Sleep(100 * time.Millisecond)
+				switch name {
+				case "other is full":
+					s.mu.Lock()
+					s.scheduler.SetPeerLoad("b", scheduler.Load{Running: 4})
+					s.mu.Unlock()
+				case "other is gone":
+					backends[1].crash()
+				}
+				got := <-result
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				assert.Equal(t, got.body, wantEvents(1, 3))
+				assert.Equal(t, len(a.requests()), 1)
+			})
+		}
+	}
+}
+
+// writeStream writes a whole stream of the events from..to.
+func writeStream(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Signed", "yes")
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, wantEvents(from, to))
+}
+
+// TestLateAnswerIsNotGivenUp guards against answers that are given up after a multiple of the target latency
+// although no other endpoint gives one.
+func TestLateAnswerIsNotGivenUp(t *testing.T) {
+	late := func(n int, w http.ResponseWriter, r *http.Request) {
+		sleep(1200 * time.Millisecond)(r)
+		respondOK("late")(n, w, r)
+	}
+	for name, other := range map[string]script{
+		"no other":         nil,
+		"other refuses":    respond(503, "Not-Run: 1"),
+		"other fails":      respond(500, "Signed: yes"),
+		"other breaks off": cutOff(""),
+		"other hangs":      hang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backends := []*backend{newBackend(t, "a", late)}
+			if other != nil {
+				backends = append(backends, newBackend(t, "b", other))
+			}
+			e := newEntry(t, routes.Route{Kind: routes.Idempotent, MaxAttempts: 2}, backends...)
+			e.handler.Service("s").MarkUnreachable("b")
+			got := e.send(http.MethodGet)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, got.body, "late")
+		})
+	}
+}
+
+// TestSilentEndpointIsLeft guards against requests that stay at an endpoint that is truly silent while another one
+// is free, or becomes free.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	timeouts := silenceTimeoutsOf(&stream)
+	const slack = 400 * time.Millisecond
+	silentAt := func(after int) script { return pauseAfter(after, 9, sleep(time.Hour)) }
+	for name, c := range map[string]struct {
+		route  routes.Route
+		silent script
+		after  time.Duration
+	}{
+		"before the first event": {stream, silentAt(0), timeouts.first},
+		"between events":         {stream, silentAt(2), timeouts.next},
+		"buffered":               {routes.Route{Kind: routes.Idempotent, MaxAttempts: 2}, hang, hedgeTargets * 500 * time.Millisecond},
+	} {
+		for _, full := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, full %v", name, full), func(t *testing.T) {
+				t.Parallel()
+				answer := respondOK("ok")
+				want := "ok"
+				if c.route.Kind == routes.Streaming {
+					answer, want = events(3, 0, 0), wantEvents(1, 3)
+				}
+				a, b := newBackend(t, "a", c.silent), newBackend(t, "b", answer)
+				e := newEntry(t, c.route, a, b)
+				s := e.handler.Service("s")
+				keepActive(t, s)
+				s.MarkUnreachable("b")
+				setLoad := func(n int) {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.scheduler.SetPeerLoad("b", scheduler.Load{Running: n})
+					s.dispatch()
+				}
+				expected := c.after
+				if full {
+					expected += 200 * time.Millisecond
+					time.AfterFunc(100*time.Millisecond, func() { setLoad(8) })
+					time.AfterFunc(expected, func() { setLoad(0) })
+				}
+				got := e.send(http.MethodPost)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, want)
+				assert.Assert(t, got.took >= c.after && got.took < expected+slack, "%v", got.took)
+				assert.Equal(t, len(a.requests()), 1)
+			})
+		}
+	}
+}
+
+// TestSilentAttemptAndHedgeTogether guards against events that come twice or out of order if a silent stream goes on
+// at the moment at which another endpoint takes it over.
+func TestSilentAttemptAndHedgeTogether(t *testing.T) {
+	for name, first := range map[string]bool{"silent one goes on as the hedge arrives": true, "both go on": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hedged, goesOn := make(chan struct{}), make(chan struct{})
+			a := newBackend(t, "a", pauseAfter(2, 6, func(r *http.Request) {
+				select {
+				case <-hedged:
+				case <-r.Context().Done():
+				}
+				close(goesOn)
+			}))
+			b := newBackend(t, "b", pauseAfter(2, 6, func(r *http.Request) {
+				close(hedged)
+				<-goesOn
+				if first {
+					<-r.Context().Done()
+				}
+			}))
+			e := newEntry(t, stream, a, b)
+			s := e.handler.Service("s")
+			keepActive(t, s)
+			s.MarkUnreachable("b")
+			got := e.send(http.MethodPost)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wantEvents(1, 6))
+			assert.Equal(t, len(a.requests()), 1)
+			assert.Equal(t, len(b.requests()), 1)
+			assert.Equal(t, len(s.ownLoads()), 0)
+		})
+	}
+}
--- a/entry/direct/quarantine.go
+++ b/entry/direct/quarantine.go
@@ -220,6 +220,16 @@
 	return true
 }
 
+// passes reports whether no part of the request is in question.
+func (p *partQuarantine) passes(q *request) bool {
+	if len(q.parts) == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Check(q.parts, q.teamName(), p.now()).Action == quarantine.Pass
+}
+
 // answered records that the request's answer goes on after its beginning.
 func (p *partQuarantine) answered(q *request) {
 	if len(q.parts) == 0 {
--- a/entry/direct/requestlog.go
+++ b/entry/direct/requestlog.go
@@ -67,10 +67,10 @@
 }
 
 // chosen logs the endpoint to which a request is sent.
-func (l *requestLog) chosen(q *request, x *Slot) {
+func (l *requestLog) chosen(q *request, x *Slot, try int) {
 	d := x.Decision
 	l.observe("wait", q.service.name, d.Waited.Seconds())
-	l.request(l.log.Info(), "request.chosen", q).Str("endpoint", string(x.Backend.Name)).Int("try", q.sent+1).
+	l.request(l.log.Info(), "request.chosen", q).Str("endpoint", string(x.Backend.Name)).Int("try", try).
 		Dur("waited", d.Waited).Bool("late", d.Late).Int("running", d.Running).Int("waiting", d.Waiting).
 		Dur("loads_age", x.LoadsAge).Int("prompt", q.info.PromptTokens).Dur("left", time.Until(q.deadline)).
 		Strs("parts", q.info.SharedParts).Send()
@@ -144,7 +144,21 @@
 
 func (l *requestLog) repeated(q *request, endpoint id.Endpoint, cause error, why string) {
 	l.set.GetOrCreateCounter(fmt.Sprintf("siskinford_repeats_total{service=%q}", string(q.service.name))).Inc()
-	l.request(l.log.Info(), "request.repeated", q).Err(cause).Str("endpoint", string(endpoint)).Int("sent", q.sent).Msg(why)
+	l.request(l.log.Info(), "request.repeated", q).Err(cause).Str("endpoint", string(endpoint)).Int("sent", q.sentCount()).Msg(why)
+}
+
+// Values of the label result of siskinford_hedges_total.
+const (
+	hedgeWon       = "won"
+	hedgeFailed    = "failed"
+	hedgeCancelled = "cancelled"
+)
+
+// hedged logs and counts how a second attempt beside a silent one ended.
+func (l *requestLog) hedged(q *request, silent, endpoint id.Endpoint, result string, cause error) {
+	l.set.GetOrCreateCounter(fmt.Sprintf("siskinford_hedges_total{result=%q,service=%q}", result, string(q.service.name))).Inc()
+	l.request(l.log.Info(), "request.hedged", q).Err(cause).Str("endpoint", string(endpoint)).Str("silent", string(silent)).
+		Str("result", result).Send()
 }
 
 func (l *requestLog) failed(q *request, status int, cause error) {
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -176,6 +176,8 @@
 	// concurrent is the number of the entry's requests at the endpoint when this one started.
 	concurrent int
 	pauses     pauseMeter
+	// hung is true after RecordHang; guarded by Service.mu.
+	hung bool
 }
 
 // Acquire waits until the request may be sent to an endpoint. If the request has to wait,
@@ -280,6 +282,21 @@
 	x.recordPause(now)
 }
 
+// RecordHang records that the request got no data for too long while other endpoints responded. It goes on.
+func (x *Slot) RecordHang() {
+	s := x.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x.hung {
+		return
+	}
+	x.hung = true
+	now := s.now()
+	if until := s.suspectUntil(x.Backend.Name, Hung, now); until > now {
+		s.scheduler.Suspect(x.Backend.Name, until)
+	}
+}
+
 // Release frees the slot. It must be called exactly once.
 func (x *Slot) Release(o Outcome) {
 	s := x.service
@@ -292,8 +309,10 @@
 	if o == Succeeded {
 		s.durations.add(now - x.started)
 	}
-	if until := s.suspectUntil(x.Backend.Name, o, now); until > now {
-		s.scheduler.Suspect(x.Backend.Name, until)
+	if o != Hung || !x.hung {
+		if until := s.suspectUntil(x.Backend.Name, o, now); until > now {
+			s.scheduler.Suspect(x.Backend.Name, until)
+		}
 	}
 	s.dispatch()
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,22 +22,28 @@
 // finalAnswerTime because a process without processor time comes late to the answer, and then has to deliver it.
 const wholeAnswerTime = 5 * time.Second
 
-var errStreamSilent = errors.New("the stream fell silent while others go on")
-
 // clientGoneError reports that writing to the client failed.
 type clientGoneError struct{ cause error }
 
 func (e *clientGoneError) Error() string { return "write to client: " + e.cause.Error() }
 
-// streamWriter forwards the events of one or more attempts to the client.
-type streamWriter struct {
-	w          http.ResponseWriter
-	rc         *http.ResponseController
+// streamPosition is how far a stream was forwarded.
+type streamPosition struct {
+	// headerSent is true once the header was forwarded, mediaType is the type in it.
 	headerSent bool
+	mediaType  string
 	// lastEventID is the ID of the last event forwarded.
 	lastEventID string
 	// lastProgress is when an event was last forwarded, or the request's arrival.
 	lastProgress time.Time
+}
+
+// streamWriter forwards the events of one or more attempts to the client.
+type streamWriter struct {
+	streamPosition
+
+	w  http.ResponseWriter
+	rc *http.ResponseController
 	// firstEventAfter is the time from the arrival to the first event.
 	firstEventAfter time.Duration
 	events          int
@@ -47,29 +52,34 @@
 
 // serveStream forwards a stream and resumes it at another endpoint if it breaks off.
 func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &streamWriter{w: w, rc: http.NewResponseController(w), lastEventID: q.info.LastEvent, lastProgress: q.began}
+	s := &streamWriter{w: w, rc: http.NewResponseController(w), streamPosition: streamPosition{lastEventID: q.info.LastEvent, lastProgress: q.began}}
 	if err := s.rc.SetWriteDeadline(q.deadline.Add(finalAnswerTime)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	var (
+		a    *streamAttempt // the next attempt, if a hedge has begun it
 		resp *response
 		err  error
 	)
 	for {
-		if v, ok := q.service.quarantine.admit(ctx, q); !ok && ctx.Err() == nil {
-			h.endBlocked(w, q, s, v)
-			return
-		}
-		slot, d := h.acquire(ctx, q, s.schedulerRequest(q))
-		if slot == nil {
-			h.endStream(ctx, w, q, s, d, resp, err)
-			return
-		}
-		if !q.service.quarantine.begin(q) {
-			slot.Release(Neutral)
-			continue
+		if a == nil {
+			if v, ok := q.service.quarantine.admit(ctx, q); !ok && ctx.Err() == nil {
+				h.endBlocked(w, q, s, v)
+				return
+			}
+			slot, d := h.acquire(ctx, q, s.schedulerRequest(q))
+			if slot == nil {
+				h.endStream(ctx, w, q, s, d, resp, err)
+				return
+			}
+			if !q.service.quarantine.begin(q) {
+				slot.Release(Neutral)
+				continue
+			}
+			a = newStreamAttempt(ctx, slot, s.streamPosition)
 		}
-		resp, err = h.attemptStream(ctx, q, slot, s)
+		slot := a.slot
+		resp, a, err = h.attemptStream(ctx, q, a, s)
 		if err == nil && resp == nil {
 			h.requestLog.streamed(q, slot.Backend.Name, s)
 			return
@@ -79,6 +89,10 @@
 			h.requestLog.abandoned(q)
 			panic(http.ErrAbortHandler)
 		}
+		if a != nil {
+			q.exclude(slot.Backend.Name)
+			continue
+		}
 		q.service.quarantine.end(q)
 		if v, ok := q.service.quarantine.admit(ctx, q); !ok && ctx.Err() == nil {
 			h.endBlocked(w, q, s, v) // Without taking a retry from the budget.
@@ -102,12 +116,12 @@
 }
 
 // schedulerRequest describes the request, or the rest of the stream, to the scheduler.
-func (s *streamWriter) schedulerRequest(q *request) scheduler.Request {
+func (p streamPosition) schedulerRequest(q *request) scheduler.Request {
 	r := q.schedulerRequest()
-	if s.headerSent {
+	if p.headerSent {
 		r.Resumed = true
-		r.Arrival = s.lastProgress.Sub(q.service.start)
-		r.FirstEventDeadline = s.lastProgress.Add(maxSilence(q.route)).Sub(q.service.start)
+		r.Arrival = p.lastProgress.Sub(q.service.start)
+		r.FirstEventDeadline = p.lastProgress.Add(maxSilence(q.route)).Sub(q.service.start)
 	}
 	return r
 }
@@ -133,60 +147,152 @@
 	}
 }
 
-// attemptStream forwards events until the stream ends. It returns a response that is not a
-// stream without forwarding it.
-func (h *Handler) attemptStream(ctx context.Context, q *request, slot *Slot, s *streamWriter) (resp *response, err error) {
-	outcome := Neutral
-	defer func() { slot.Release(outcome) }()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := newSilenceWatchdog(q, cancel)
-	defer watchdog.stop()
-	p := &progress{sentAt: time.Now()}
-	x, err := h.send(ctx, q, slot, s.lastEventID)
+// streamAttempt is one attempt of a stream, or of its rest, at an endpoint.
+type streamAttempt struct {
+	slot *Slot
+	// ctx is that of the attempt.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// from is the position after which the attempt begins.
+	from     streamPosition
+	progress progress
+	// begun is true once the answer was reported as begun.
+	begun   bool
+	outcome Outcome
+	// x is nil until the head of the answer arrived.
+	x      *upstream.Exchange
+	events *eventReader
+	// peeked is true while the first new event, which is the result of events.next, was read but not forwarded.
+	peeked    bool
+	peekEvent []byte
+	peekID    string
+	peekErr   error
+}
+
+func newStreamAttempt(ctx context.Context, slot *Slot, from streamPosition) *streamAttempt {
+	a := &streamAttempt{slot: slot, from: from, outcome: Neutral}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// next returns the next event as eventReader.next does.
+func (a *streamAttempt) next() (event []byte, eventID string, err error) {
+	if a.peeked {
+		a.peeked = false
+		return a.peekEvent, a.peekID, a.peekErr
+	}
+	event, eventID, err = a.events.next()
+	if err == nil {
+		a.progress.events++
+		a.slot.RecordFirstEvent()
+		a.slot.RecordEvent()
+	}
+	return event, eventID, err
+}
+
+// peek reads on to the first event that follows the position at which the attempt began, or to the stream's end.
+func (a *streamAttempt) peek() error {
+	for {
+		event, eventID, err := a.next()
+		if err != nil && err != io.EOF {
+			return err
+		}
+		if err == nil {
+			switch compareEventIDs(a.from.lastEventID, eventID) {
+			case duplicate:
+				continue
+			case gap:
+				return gapError(a.from.lastEventID, eventID)
+			}
+		}
+		a.peeked, a.peekEvent, a.peekID, a.peekErr = true, event, eventID, err
+		return nil
+	}
+}
+
+// fail records the outcome of an attempt that ended with an error, and returns the cause.
+func (h *Handler) fail(q *request, a *streamAttempt, err error) error {
+	var gone *clientGoneError
+	switch {
+	case a.ctx.Err() != nil:
+		err = context.Cause(a.ctx)
+		a.outcome = outcomeOf(err)
+	case errors.As(err, &gone), errors.Is(err, errNoMemory):
+		// It says nothing about the endpoint.
+	default:
+		a.outcome = Failed
+		h.recordLoss(a.ctx, q, a.slot, &a.progress, err)
+	}
+	return err
+}
+
+// close ends the attempt and frees its slot.
+func (a *streamAttempt) close() {
+	if a.events != nil {
+		a.events.release()
+	}
+	if a.x != nil {
+		a.x.Close()
+	}
+	a.cancel(nil)
+	a.slot.Release(a.outcome)
+}
+
+// attemptStream forwards events until the stream ends. It returns a response that is not a stream without forwarding
+// it. If the attempt was hedged and did not complete the stream, next is the hedge that goes on.
+func (h *Handler) attemptStream(ctx context.Context, q *request, a *streamAttempt, s *streamWriter) (resp *response, next *streamAttempt, err error) {
+	watchdog := h.watchSilence(ctx, q, a, s.streamPosition)
+	if a.x == nil {
+		resp, err = h.openStream(q, a, false)
+	}
+	if resp == nil && err == nil {
+		if err = h.copyEvents(q, s, a, watchdog); err == nil {
+			a.outcome = Succeeded
+		} else {
+			err = h.fail(q, a, err)
+		}
+	}
+	a.close()
+	var gone *clientGoneError
+	if isFinal(resp, err) || errors.As(err, &gone) || ctx.Err() != nil {
+		watchdog.stop()
+		return resp, nil, err
+	}
+	return resp, watchdog.takeHedge(), err
+}
+
+// openStream sends the request and reads the head of the answer. It returns a response that is not a stream, or an
+// error.
+func (h *Handler) openStream(q *request, a *streamAttempt, fresh bool) (resp *response, err error) {
+	a.progress.sentAt = time.Now()
+	x, err := h.send(a.ctx, q, a.slot, a.from.lastEventID, fresh)
 	if err != nil {
-		outcome = outcomeOf(err)
-		h.recordLoss(ctx, q, slot, p, err)
+		a.outcome = outcomeOf(err)
+		h.recordLoss(a.ctx, q, a.slot, &a.progress, err)
 		return nil, err
 	}
-	defer x.Close()
-	p.answering = true
-	info, err := h.checkResponse(q, slot, x)
+	a.x, a.progress.answering = x, true
+	info, err := h.checkResponse(q, a.slot, x)
 	if err != nil {
-		outcome = Failed
+		a.outcome = Failed
 		return nil, err
 	}
 	if x.Response.StatusCode != http.StatusOK {
-		resp, outcome, err = h.readWhole(ctx, q, slot, x, info, p)
+		resp, a.outcome, err = h.readWhole(a.ctx, q, a.slot, x, info, &a.progress)
 		return resp, err
 	}
-	if s.headerSent && !continues(s.w.Header(), x.Response.Header) {
-		outcome = Failed
+	if a.from.headerSent && !continues(a.from.mediaType, x.Response.Header) {
+		a.outcome = Failed
 		return nil, errors.New("the answer is not the rest of the stream")
 	}
-	err = h.copyEvents(q, s, x, slot, p, watchdog)
-	switch {
-	case err == nil:
-		outcome = Succeeded
-	case ctx.Err() != nil:
-		err = context.Cause(ctx)
-		if errors.Is(err, errStreamSilent) {
-			outcome = Hung
-		}
-	case errors.Is(err, errNoMemory):
-		// It says nothing about the endpoint.
-	default:
-		outcome = Failed
-		h.recordLoss(ctx, q, slot, p, err)
-	}
-	return nil, err
+	a.events = newEventReader(x.Body(), q.conn)
+	return nil, nil
 }
 
-// continues reports whether a response with the second header can be the rest of a stream with the
-// first one.
-func continues(first, second http.Header) bool {
-	t := mediaType(second)
-	return t == "text/event-stream" || t == mediaType(first)
+// continues reports whether a response can be the rest of a stream of a media type.
+func continues(first string, header http.Header) bool {
+	t := mediaType(header)
+	return t == "text/event-stream" || t == first
 }
 
 // mediaType returns the type of a body, without parameters.
@@ -219,33 +325,36 @@
 	}
 }
 
+func gapError(last, eventID string) error {
+	return errors.Newf("event %q follows event %q", eventID, last)
+}
+
 // copyEvents forwards the events of one attempt.
-func (h *Handler) copyEvents(q *request, s *streamWriter, x *upstream.Exchange, slot *Slot, p *progress, watchdog *silenceWatchdog) error {
-	events := newEventReader(x.Body(), q.conn)
-	defer events.release()
+func (h *Handler) copyEvents(q *request, s *streamWriter, a *streamAttempt, watchdog *silenceWatchdog) error {
 	for {
-		event, eventID, err := events.next()
+		event, eventID, err := a.next()
 		if err == io.EOF {
 			q.service.quarantine.answered(q)
-			s.sendHeader(x)
+			s.sendHeader(a.x)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if p.events++; p.events == begunEvents {
+		if !watchdog.resume() {
+			return errHedged
+		}
+		if !a.begun && a.progress.events >= begunEvents {
+			a.begun = true
 			q.service.quarantine.answered(q)
 		}
-		slot.RecordFirstEvent()
-		slot.RecordEvent()
-		watchdog.reset()
 		switch compareEventIDs(s.lastEventID, eventID) {
 		case duplicate:
 			continue
 		case gap:
-			return errors.Newf("event %q follows event %q", eventID, s.lastEventID)
+			return gapError(s.lastEventID, eventID)
 		}
-		s.sendHeader(x)
+		s.sendHeader(a.x)
 		if err := s.write(event); err != nil {
 			return &clientGoneError{cause: err}
 		}
@@ -255,6 +364,7 @@
 		if s.recordEvent(time.Now(), q.began) {
 			h.requestLog.firstEvent(q, s.firstEventAfter)
 		}
+		watchdog.setPosition(s.streamPosition)
 	}
 }
 
@@ -287,45 +397,10 @@
 	if s.headerSent {
 		return
 	}
-	s.headerSent = true
+	s.headerSent, s.mediaType = true, mediaType(x.Response.Header)
 	copyHeader(s.w.Header(), x.Response.Header)
 	if !x.HasBody() {
 		copyLength(s.w.Header(), x.Response.Header)
 	}
 	s.w.WriteHeader(http.StatusOK)
 }
-
-// silenceWatchdog cancels an attempt whose stream is silent while others are active, if it may
-// be resumed at another endpoint.
-type silenceWatchdog struct {
-	request *request
-	// mayRepeat is false if the attempt is the last one.
-	mayRepeat bool
-	timeouts  silenceTimeouts
-	cancel    context.CancelCauseFunc
-
-	mu    sync.Mutex // guards timer until it is set
-	timer *time.Timer
-}
-
-func newSilenceWatchdog(q *request, cancel context.CancelCauseFunc) *silenceWatchdog {
-	w := &silenceWatchdog{request: q, mayRepeat: q.mayRepeatNext(), timeouts: silenceTimeoutsOf(q.route), cancel: cancel}
-	w.mu.Lock() // expire uses timer.
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.timeouts.first, w.expire)
-	return w
-}
-
-func (w *silenceWatchdog) expire() {
-	if w.mayRepeat && w.request.service.SinceLastEvent() <= w.timeouts.othersActive && w.request.reserveRetry() {
-		w.cancel(errStreamSilent)
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer.Reset(w.timeouts.othersActive)
-}
-
-func (w *silenceWatchdog) reset() { w.timer.Reset(w.timeouts.next) }
-
-func (w *silenceWatchdog) stop() { w.timer.Stop() }
