All parts of a prompt are looked at, recorded and told to other entries

Cause: a prompt's parts were cut to 128. Related bounds hid parts as well: a table of 256 blocked records took no more, 64 records a message left the rest, and claims of their trials, untold.

Change: all parts count. The table holds more than a legal head has, and drops companions of long prompts first. What exceeds a message is sent as hashes of four bytes. Searches in long lists are binary.

TestMemoryIsBounded took the cut for the aim; it demands all 1,000 parts now and bounds the hints. TestBlockedPartsAreSharedFirst fills a table of 256 records as before: 4,096 take longer than the first pause.

--- a/balance/quarantine/check.go
+++ b/balance/quarantine/check.go
@@ -4,34 +4,41 @@
 	"crypto/sha256"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/siskinford/siskinford/core/id"
 )
 
-const (
-	// MaxPartBytes bounds the ID of a part.
-	MaxPartBytes = 64
-	// MaxParts bounds the parts of a request that are looked at.
-	MaxParts = 128
-)
+// MaxPartBytes bounds the ID of a part.
+const MaxPartBytes = 64
 
-// Parts returns the IDs of a prompt's parts as the table knows them: each once, long ones
-// replaced by a hash.
+// Parts returns the IDs of a prompt's parts as the table knows them: sorted, each once, long ones replaced by a hash.
 func Parts(names []string) []id.Part {
 	if len(names) == 0 {
 		return nil
 	}
-	out := make([]id.Part, 0, min(len(names), MaxParts))
-	for _, name := range names[:min(len(names), MaxParts)] {
+	out := make([]id.Part, len(names))
+	for i, name := range names {
 		if len(name) > MaxPartBytes {
 			name = fmt.Sprintf("%x", sha256.Sum256([]byte(name)))
 		}
-		if p := id.Part(name); !slices.Contains(out, p) {
-			out = append(out, p)
-		}
+		out[i] = id.Part(name)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// maxUnsorted is the number of parts up to which a list is searched from its start.
+const maxUnsorted = 32
+
+// contains reports whether a list has a part. Lists of more than maxUnsorted parts must be sorted.
+func contains(parts []id.Part, p id.Part) bool {
+	if len(parts) <= maxUnsorted {
+		return slices.Contains(parts, p)
+	}
+	_, ok := slices.BinarySearch(parts, p)
+	return ok
 }
 
 // Action is what to do with a request. Of the actions for its parts, the greatest counts.
@@ -59,19 +66,21 @@
 // Check returns what to do with a request that has the parts.
 func (t *Table) Check(parts []id.Part, team id.Team, now time.Duration) Verdict {
 	v := Verdict{Action: Pass}
-	if len(parts) == 0 || (len(t.records) == 0 && len(t.collecting) == 0) {
+	if len(parts) == 0 || (len(t.records) == 0 && len(t.collecting) == 0 && t.hints.Len() == 0) {
 		return v
 	}
 	if t.collectingAny(parts) {
 		v.Action = Wait
 	}
+	t.suspectHinted(parts, now)
+	triedLately := sync.OnceValue(func() bool { return t.triedLately(now) })
 	for _, p := range parts {
 		r := t.records[p]
 		if r == nil || r.State == Cleared {
 			continue
 		}
 		r.UsedAt = max(r.UsedAt, now)
-		if a := t.check(r, parts, team, now); a > v.Action {
+		if a := t.check(r, parts, team, now, triedLately); a > v.Action {
 			v = Verdict{Action: a, Record: *r}
 		}
 	}
@@ -79,7 +88,7 @@
 }
 
 // check returns what to do with a request because of one of its parts.
-func (t *Table) check(r *Record, parts []id.Part, team id.Team, now time.Duration) Action {
+func (t *Table) check(r *Record, parts []id.Part, team id.Team, now time.Duration, triedLately func() bool) Action {
 	whole := r.State == Blocked && t.hasAllBlamed(r, parts, team)
 	switch {
 	case r.ByOperator:
@@ -90,7 +99,7 @@
 		return Wait
 	case !whole:
 		return Claim
-	case now < r.Until || r.Trials >= t.cfg.MaxTrials || r.claimed(now) || t.triedLately(now):
+	case now < r.Until || r.Trials >= t.cfg.MaxTrials || r.claimed(now) || triedLately():
 		return Refuse
 	}
 	return Claim
@@ -115,7 +124,7 @@
 	}
 	return !slices.ContainsFunc(r.Companions, func(p id.Part) bool {
 		c := t.records[p]
-		return c != nil && c.State != Cleared && !slices.Contains(parts, p)
+		return c != nil && c.State != Cleared && !contains(parts, p)
 	})
 }
 
@@ -134,7 +143,7 @@
 func (t *Table) collectingAny(parts []id.Part) bool {
 	for _, c := range t.collecting {
 		for _, l := range c.list {
-			if slices.ContainsFunc(t.suspects(l.Parts, l.Answering), func(p id.Part) bool { return slices.Contains(parts, p) }) {
+			if slices.ContainsFunc(t.suspects(l.Parts, l.Answering), func(p id.Part) bool { return contains(parts, p) }) {
 				return true
 			}
 		}
--- a/balance/quarantine/config.go
+++ b/balance/quarantine/config.go
@@ -27,10 +27,10 @@
 	RepeatAnswers int
 	// ForgetAfter is the time without requests after which a record is dropped. Default: 1 h.
 	ForgetAfter time.Duration
-	// MaxRecords bounds the records, MaxAnswered the parts whose answers are remembered.
-	// Defaults: 256 and 8192.
+	// MaxRecords bounds the records, MaxAnswered the parts whose answers are remembered. Defaults: 4096, more than a
+	// request head of 16 KB has parts, and 8192.
 	MaxRecords, MaxAnswered int
-	// MaxShared bounds the records in a message to other entries. Default: 64.
+	// MaxShared bounds the records that other entries are sent whole. The rest is sent as hashes. Default: 64.
 	MaxShared int
 }
 
@@ -44,7 +44,7 @@
 	setDefault(&c.MaxTrials, 3)
 	setDefault(&c.RepeatAnswers, 8)
 	setDefault(&c.ForgetAfter, time.Hour)
-	setDefault(&c.MaxRecords, 256)
+	setDefault(&c.MaxRecords, 4096)
 	setDefault(&c.MaxAnswered, 8192)
 	setDefault(&c.MaxShared, 64)
 	return c
--- a/balance/quarantine/fleet_test.go
+++ b/balance/quarantine/fleet_test.go
@@ -15,6 +15,7 @@
 
 var (
 	histories = flag.Int("histories", 60, "random histories of a fleet to play")
+	longOnes  = flag.Int("long-histories", 6, "of these, histories with long prompts to play")
 	traced    = flag.Int("traced", -1, "seed of a history to play alone, with its events in the log")
 )
 
@@ -36,6 +37,8 @@
 	crashes, restarts int
 	// outage is the time for which no entry hears of another, from a random moment on.
 	outage time.Duration
+	// fresh is the number of parts of each harmful request that no other has.
+	fresh int
 	// shared is the number of first parts, which all requests have one of.
 	shared int
 	length time.Duration
@@ -221,6 +224,16 @@
 		if f.rng.IntN(4) == 0 { // Also beside a part that hardly anyone uses.
 			q.parts = append(q.parts, id.Part(fmt.Sprintf("rare%d", f.rng.IntN(1000))))
 		}
+		if f.history.fresh > 0 {
+			names := make([]string, f.history.fresh)
+			for i := range names {
+				names[i] = fmt.Sprintf("%x.%x", len(f.messages)<<32|int(f.now), f.rng.Uint32())
+			}
+			for _, p := range q.parts {
+				names = append(names, string(p))
+			}
+			q.parts = Parts(names)
+		}
 	} else {
 		if f.rng.IntN(4) == 0 {
 			q.parts = append(q.parts, id.Part(fmt.Sprintf("rare%d", f.rng.IntN(1000))))
@@ -382,24 +395,30 @@
 // TestFewEndpointsEndByOnePart plays random histories of a fleet with one to three deadly parts:
 // a part ends few endpoints, whatever else the requests hold, while endpoints end for other
 // causes and entries are restarted.
-func TestFewEndpointsEndByOnePart(t *testing.T) { playHistories(t, func(*history) {}) }
+func TestFewEndpointsEndByOnePart(t *testing.T) { playHistories(t, *histories, func(*history) {}) }
 
 // TestFewEndpointsEndBySeldomHarm guards against parts that end an endpoint with one answer in five
 // and are cleared by the others.
 func TestFewEndpointsEndBySeldomHarm(t *testing.T) {
-	playHistories(t, func(h *history) { h.harm = 0.2 })
+	playHistories(t, *histories, func(h *history) { h.harm = 0.2 })
 }
 
 // TestFewEndpointsEndWhileEntriesAreCut guards against parts that end endpoints once for each entry
 // while no entry hears of another.
 func TestFewEndpointsEndWhileEntriesAreCut(t *testing.T) {
-	playHistories(t, func(h *history) { h.outage = time.Duration(h.seed%8) * time.Second })
+	playHistories(t, *histories, func(h *history) { h.outage = time.Duration(h.seed%8) * time.Second })
+}
+
+// TestFewEndpointsEndByPartOfLongPrompt plays the histories with harmful requests of several hundred parts each, which
+// no other request has: more than a message to other entries holds.
+func TestFewEndpointsEndByPartOfLongPrompt(t *testing.T) {
+	playHistories(t, *longOnes, func(h *history) { h.fresh = 200 + int(h.seed%7)*150 })
 }
 
-func playHistories(t *testing.T, change func(*history)) {
+func playHistories(t *testing.T, n int, change func(*history)) {
 	t.Helper()
 	var sound, refused int
-	for seed := range *histories {
+	for seed := range n {
 		if *traced >= 0 && seed != *traced {
 			continue
 		}
--- /dev/null
+++ b/balance/quarantine/hints.go
@@ -0,0 +1,100 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"time"
+
+	"github.com/siskinford/siskinford/core/id"
+)
+
+// A request may have over a thousand parts, and its loss blames all that have no answer. Other entries get the hashes
+// of those that do not fit a message as whole records, and suspect a part of which they know only the hash when a
+// request with it arrives.
+
+const (
+	// maxHints bounds the hashes that are kept.
+	maxHints = 8192
+	// hintBytes is the size of an encoded hash.
+	hintBytes = 4
+	// hintShareTime is the time for which a hint is sent on. It spans several exchanges between entries.
+	hintShareTime = 5 * time.Second
+)
+
+func hintOf(p id.Part) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(p)) // It returns no error.
+	return h.Sum32()
+}
+
+// suspectHinted suspects the parts of a request that are known by their hashes, unless this entry has seen an answer to
+// them. Their records have a lower version than those of the entry that blames the parts, which replace them.
+func (t *Table) suspectHinted(parts []id.Part, now time.Duration) {
+	if t.hints.Len() == 0 {
+		return
+	}
+	var hinted []id.Part
+	for _, p := range parts {
+		if t.records[p] == nil && !t.answered.Has(p) && t.hints.Has(hintOf(p)) {
+			hinted = append(hinted, p)
+		}
+	}
+	for i, p := range hinted {
+		t.dropHint(p)
+		if r := t.record(p, now); r != nil {
+			r.State, r.Companions, r.BlamedAt, r.ChangedAt = Suspected, newCompanions(hinted, i), now, now
+			t.emit(KindBlamed, r, "", true)
+		}
+	}
+}
+
+func (t *Table) dropHint(p id.Part) {
+	if t.hints.Len() > 0 {
+		t.hints.Remove(hintOf(p))
+	}
+}
+
+// mergeHints adds the hints of another entry, vouches for the parts that this entry has seen answers to, and reports
+// whether any hint is new.
+func (t *Table) mergeHints(b []byte, now time.Duration) (news bool) {
+	added := make(map[uint32]bool)
+	for ; len(b) >= hintBytes; b = b[hintBytes:] {
+		if h := binary.BigEndian.Uint32(b); !t.hints.Has(h) {
+			t.hints.Put(h, now)
+			added[h] = true
+		}
+	}
+	if len(added) == 0 {
+		return false
+	}
+	var vouched []id.Part
+	for p, answers := range t.answered.All() {
+		if answers > 0 && t.records[p] == nil && added[hintOf(p)] {
+			vouched = append(vouched, p)
+		}
+	}
+	for _, p := range vouched {
+		if r := t.record(p, now); r != nil {
+			r.State, r.Version = Suspected, 1 // The version of a first end.
+			t.vouchForNewEnd(r, now)
+		}
+	}
+	return true
+}
+
+// encodeHints returns the hashes of records that were changed lately and of the hints that arrived lately, which
+// entries further away have not seen.
+func (t *Table) encodeHints(list []*Record, now time.Duration) []byte {
+	var b []byte
+	for _, r := range list {
+		if r.State != Cleared && now-r.ChangedAt < hintShareTime {
+			b = binary.BigEndian.AppendUint32(b, hintOf(r.Part))
+		}
+	}
+	for h, at := range t.hints.All() {
+		if now-at < hintShareTime {
+			b = binary.BigEndian.AppendUint32(b, h)
+		}
+	}
+	return b
+}
--- a/balance/quarantine/record.go
+++ b/balance/quarantine/record.go
@@ -84,10 +84,10 @@
 	return true
 }
 
-// narrow records that of the parts that were blamed before, only these come into question: one
-// part does harm, and it was there each time.
-func (r *Record) narrow(companions []id.Part, ambiguous bool, team id.Team) {
-	r.Companions = slices.DeleteFunc(slices.Clone(r.Companions), func(p id.Part) bool { return !slices.Contains(companions, p) })
+// narrow records that of the parts that were blamed before, only these come into question: one part does harm, and it
+// was there each time.
+func (r *Record) narrow(parts []id.Part, ambiguous bool, team id.Team) {
+	r.Companions = slices.DeleteFunc(slices.Clone(r.Companions), func(p id.Part) bool { return !contains(parts, p) })
 	r.Ambiguous = r.Ambiguous && ambiguous && r.Team == team
 }
 
@@ -107,6 +107,39 @@
 	return false
 }
 
+// newCompanions returns the parts that are blamed together with one of them: all, or some from the whole list if there
+// are many.
+func newCompanions(parts []id.Part, of int) []id.Part {
+	others := len(parts) - 1
+	n := min(others, maxCompanions)
+	out := make([]id.Part, n)
+	for i := range out {
+		out[i] = parts[(of+1+i*others/n)%len(parts)]
+	}
+	return out
+}
+
+// specific reports whether a part is blamed beside few others. The parts of a long prompt are blamed together until
+// another request with one of them is lost.
+func (r *Record) specific() bool { return r.ByOperator || len(r.Companions) < maxCompanions }
+
+// shareRank orders the records to send to other entries, least first: blocked parts, then those that came again after
+// the first end, since entries have to agree on a trial, and those that were cleared. The parts of long prompts come after others.
+func (r *Record) shareRank() int {
+	recurs := r.State != Cleared && (r.Version > 1 || r.Claimant != "")
+	switch {
+	case r.State == Blocked && r.specific():
+		return 0
+	case recurs && r.specific():
+		return 1
+	case recurs, r.State == Cleared:
+		return 2
+	case r.State == Blocked:
+		return 3
+	}
+	return 4
+}
+
 // Message is a record as sent to other entries, with times relative to the sending.
 type Message struct {
 	Part       id.Part   `cbor:"1,keyasint"`
@@ -125,6 +158,8 @@
 	Ambiguous  bool    `cbor:"12,keyasint,omitempty"`
 	Team       id.Team `cbor:"13,keyasint,omitempty"`
 	Witnessed  bool    `cbor:"14,keyasint,omitempty"`
+	// Hints are hashes of further parts that are not cleared, in a message without a part.
+	Hints []byte `cbor:"15,keyasint,omitempty"`
 }
 
 func (r *Record) message(now time.Duration) Message {
--- a/balance/quarantine/table.go
+++ b/balance/quarantine/table.go
@@ -44,6 +44,8 @@
 	records map[id.Part]*Record
 	// answered counts the answers to each part since the last end blamed on it.
 	answered *bounded.Map[id.Part, int]
+	// hints are the hashes of parts that other entries blame and sent no record of, and when they came.
+	hints *bounded.Map[uint32, time.Duration]
 	// collecting holds the losses at endpoints that ended just now.
 	collecting map[EndID]*losses
 	// forgotAt is when old records were last searched.
@@ -74,6 +76,7 @@
 	return &Table{
 		cfg: cfg, self: self, onEvent: onEvent, records: make(map[id.Part]*Record),
 		answered: bounded.NewMap[id.Part, int](cfg.MaxAnswered), collecting: make(map[EndID]*losses),
+		hints: bounded.NewMap[uint32, time.Duration](maxHints),
 	}
 }
 
@@ -131,7 +134,7 @@
 		common := t.suspects(answering[0].Parts, true)
 		for _, l := range answering[1:] {
 			s := t.suspects(l.Parts, true)
-			common = slices.DeleteFunc(slices.Clone(common), func(p id.Part) bool { return !slices.Contains(s, p) })
+			common = slices.DeleteFunc(slices.Clone(common), func(p id.Part) bool { return !contains(s, p) })
 		}
 		if len(common) > 0 {
 			t.blame(common, Blocked, end, answering[0], now)
@@ -177,21 +180,20 @@
 	if known := t.certain(parts); len(known) > 0 {
 		parts = known
 	}
-	for _, p := range parts {
+	explained := false
+	for i, p := range parts {
 		r := t.record(p, now)
 		if r == nil || r.ByOperator || (slices.Contains(r.Ends, end) && r.State >= state) {
 			continue
 		}
-		companions := make([]id.Part, 0, len(parts)-1)
-		for _, other := range parts {
-			if other != p && len(companions) < maxCompanions {
-				companions = append(companions, other)
-			}
-		}
+		companions := newCompanions(parts, i)
 		if r.State == Cleared {
 			r.Companions, r.Ambiguous, r.Team = companions, len(parts) > 1, l.Team
 		} else {
-			r.narrow(companions, len(parts) > 1, l.Team)
+			r.narrow(parts, len(parts) > 1, l.Team)
+		}
+		if len(r.Ends) == 0 {
+			r.Ambiguous, r.Team = len(parts) > 1, l.Team
 		}
 		r.blame(end, now)
 		r.State = max(r.State, state)
@@ -200,7 +202,9 @@
 		r.Until = now + t.pause(r.Trials)
 		t.changed(r, now)
 		t.emit(KindBlamed, r, l.Request, false)
-		t.clearExplained(end, now)
+		if i == 0 || !explained && r.State == Blocked && r.Witnessed {
+			explained = t.clearExplained(end, now)
+		}
 		t.vouchForNewEnd(r, now)
 	}
 }
@@ -227,10 +231,10 @@
 }
 
 // clearExplained clears the parts that are only suspected of an end if the request that caused
-// it is known.
-func (t *Table) clearExplained(end EndID, now time.Duration) {
+// it is known, and reports whether it is.
+func (t *Table) clearExplained(end EndID, now time.Duration) bool {
 	if !t.witnessed(end) {
-		return
+		return false
 	}
 	for _, r := range t.records {
 		if r.State == Suspected && len(r.Ends) == 1 && r.Ends[0] == end {
@@ -238,6 +242,7 @@
 			t.clear(r, "", now)
 		}
 	}
+	return true
 }
 
 // pause returns the time from a block to the next trial.
@@ -263,19 +268,26 @@
 	return r
 }
 
-// evict drops the least severe record, the one that was used least recently of several. It
-// reports whether there was one that is not blocked.
+// evictFraction is the fraction of Config.MaxRecords that is dropped at a time.
+const evictFraction = 16
+
+// evict drops the least severe records, those that were used least recently of several. It reports whether there were
+// any that may be dropped. Blocked parts of long prompts may: a part that does harm comes again, its companions do not.
 func (t *Table) evict() bool {
-	var least *Record
+	var list []*Record
 	for _, r := range t.records {
-		if r.State != Blocked && (least == nil || cmp.Or(cmp.Compare(r.State, least.State), cmp.Compare(r.UsedAt, least.UsedAt)) < 0) {
-			least = r
+		if r.State != Blocked || !r.specific() && r.Claimant == "" {
+			list = append(list, r)
 		}
 	}
-	if least != nil {
-		delete(t.records, least.Part)
+	slices.SortFunc(list, func(a, b *Record) int {
+		return cmp.Or(cmp.Compare(min(a.State, Suspected), min(b.State, Suspected)), cmp.Compare(b.shareRank(), a.shareRank()), cmp.Compare(a.UsedAt, b.UsedAt))
+	})
+	list = list[:min(len(list), max(t.cfg.MaxRecords/evictFraction, 1))]
+	for _, r := range list {
+		delete(t.records, r.Part)
 	}
-	return least != nil
+	return len(list) > 0
 }
 
 func (t *Table) changed(r *Record, now time.Duration) {
@@ -293,6 +305,7 @@
 	for _, p := range parts {
 		answers, _ := t.answered.Get(p)
 		t.answered.Put(p, answers+1)
+		t.dropHint(p)
 		r := t.records[p]
 		switch {
 		case r == nil || r.State == Cleared:
@@ -332,6 +345,9 @@
 // Merge applies the records of another entry. It reports whether any was news.
 func (t *Table) Merge(list []Message, now time.Duration) (news bool) {
 	for _, m := range list {
+		if m.Part == "" && t.mergeHints(m.Hints, now) {
+			news = true
+		}
 		if m.Part == "" || len(m.Part) > MaxPartBytes {
 			continue
 		}
@@ -351,8 +367,8 @@
 	r.UsedAt = max(r.UsedAt, in.UsedAt)
 	switch {
 	case in.Version < before.Version:
-		if now-r.ChangedAt > clearedShareTime {
-			r.ChangedAt = now // The other entry missed the change.
+		if r.State != Cleared || now-r.ChangedAt > clearedShareTime {
+			r.ChangedAt = now // The other entry missed the change, or was sent a hint of it only.
 		}
 		return false
 	case before.supersededBy(in):
@@ -390,8 +406,8 @@
 // clearedShareTime is the time for which the record of a cleared part is sent to other entries.
 const clearedShareTime = 10 * time.Second
 
-// Encode returns the records to send to other entries: if there are many, the blocked parts and
-// the latest of the others.
+// Encode returns the records to send to other entries. If there are many, they are those of least shareRank and of
+// these the latest, and hints of the others.
 func (t *Table) Encode(now time.Duration) []Message {
 	t.forget(now)
 	var list []*Record
@@ -400,20 +416,17 @@
 			list = append(list, r)
 		}
 	}
-	last := func(r *Record) int {
-		if r.State == Blocked {
-			return 0
-		}
-		return 1
-	}
 	slices.SortFunc(list, func(a, b *Record) int {
-		return cmp.Or(cmp.Compare(last(a), last(b)), cmp.Compare(b.ChangedAt, a.ChangedAt), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(a.shareRank(), b.shareRank()), cmp.Compare(b.ChangedAt, a.ChangedAt), cmp.Compare(a.Part, b.Part))
 	})
-	list = list[:min(len(list), t.cfg.MaxShared)]
-	out := make([]Message, len(list))
-	for i, r := range list {
+	whole := min(len(list), t.cfg.MaxShared)
+	out := make([]Message, whole, whole+1)
+	for i, r := range list[:whole] {
 		out[i] = r.message(now)
 	}
+	if hints := t.encodeHints(list[whole:], now); len(hints) > 0 {
+		out = append(out, Message{Hints: hints})
+	}
 	return out
 }
 
--- a/balance/quarantine/table_test.go
+++ b/balance/quarantine/table_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -196,13 +197,152 @@
 	}
 	assert.Assert(t, len(x.records) <= x.cfg.MaxRecords)
 	assert.Assert(t, x.answered.Len() <= x.cfg.MaxAnswered)
-	assert.Equal(t, len(x.Encode(x.now)), x.cfg.MaxShared)
+	whole, hints := 0, 0
+	for _, m := range x.Encode(x.now) {
+		if m.Part != "" {
+			whole++
+		}
+		hints += len(m.Hints)
+	}
+	assert.Equal(t, whole, x.cfg.MaxShared)
+	assert.Assert(t, hints <= hintBytes*(x.cfg.MaxRecords+maxHints))
+	x.Merge([]Message{{Hints: make([]byte, 3)}}, x.now)
+	for i := range 3 * maxHints {
+		x.Merge([]Message{{Hints: binary.BigEndian.AppendUint32(nil, uint32(i))}}, x.now)
+	}
+	assert.Assert(t, x.hints.Len() <= maxHints)
 	assert.Equal(t, len(Parts(slices.Repeat([]string{"a", strings.Repeat("long", 100)}, 500))), 2)
 	many := make([]string, 1000)
 	for i := range many {
 		many[i] = fmt.Sprint(i)
 	}
-	assert.Equal(t, len(Parts(many)), MaxParts)
+	assert.Equal(t, len(Parts(many)), len(many))
+}
+
+// longestPrompt returns as many parts as a request head of 16 KB holds, with an ID of eight digits each.
+func longestPrompt(prefix string) []string {
+	const entryBytes = len("00000000:16,")
+	names := make([]string, 16<<10/entryBytes)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s%06x", prefix, i)
+	}
+	return names
+}
+
+// TestPartOfLongPromptIsBlocked guards against parts that are never blamed, or never refused at another entry, because
+// a list that holds them is cut: of a request, of the records, of a message or of those blamed together. The harmful
+// part is at each place of the list in turn.
+func TestPartOfLongPromptIsBlocked(t *testing.T) {
+	for _, place := range []int{0, 7, 63, 127, 128, 255, 256, 700, 1300} {
+		for _, far := range []bool{false, true} {
+			t.Run(fmt.Sprintf("place %d, far %v", place, far), func(t *testing.T) {
+				a, b, c := newTestTable(t, "a"), newTestTable(t, "b"), newTestTable(t, "c")
+				entries := []*testTable{a, b, c}
+				exchange := func() {
+					for range 2 {
+						b.Merge(a.Encode(a.now), b.now)
+						c.Merge(b.Encode(b.now), c.now) // c hears of a by b only.
+						b.Merge(c.Encode(c.now), b.now)
+						a.Merge(b.Encode(b.now), a.now)
+					}
+					for _, x := range entries {
+						x.wait(400 * time.Millisecond)
+					}
+				}
+				ends := 0
+				for i := range 8 {
+					names := longestPrompt(string(rune('a' + i)))
+					names[place] = "deadly"
+					parts := Parts(names)
+					x := entries[0]
+					if far {
+						x = entries[i%len(entries)]
+					}
+					v := x.Check(parts, "team", x.now)
+					if v.Action == Wait {
+						exchange()
+						v = x.Check(parts, "team", x.now)
+					}
+					switch v.Action {
+					case Refuse:
+						continue
+					case Claim:
+						x.BeginTrial(parts, "", x.now)
+						exchange()
+						if !x.HoldsClaim(parts, x.now) {
+							continue
+						}
+						x.StartTrial(parts, "", x.now)
+					}
+					ends++
+					for _, other := range entries {
+						other.nextID = EndID(ends)
+					}
+					x.nextID--
+					x.end("team", parts...)
+					exchange()
+				}
+				assert.Assert(t, ends <= 3, "%d ends", ends)
+				for _, x := range entries {
+					assert.Equal(t, x.check("team", "deadly"), Refuse)
+					assert.Equal(t, x.check("team", "another"), Pass)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkLongestPrompt measures what the longest legal prompt costs, without records, with those of four such
+// prompts, and when its loss is blamed and sent to another entry.
+func BenchmarkLongestPrompt(b *testing.B) {
+	names := longestPrompt("z")
+	parts := Parts(names)
+	filled := func() *Table {
+		x := New(Config{}, "h", func(Event) {})
+		for i := range 4 {
+			x.ReportLoss(EndID(i), Loss{Team: "t", Parts: Parts(longestPrompt(string(rune('a' + i)))), Answering: true}, 0)
+			x.Advance(time.Second)
+		}
+		return x
+	}
+	b.Run("parse", func(b *testing.B) {
+		for b.Loop() {
+			Parts(names)
+		}
+	})
+	for name, x := range map[string]*Table{"empty": New(Config{}, "h", func(Event) {}), "full": filled()} {
+		b.Run("check and answer, "+name, func(b *testing.B) {
+			for b.Loop() {
+				x.Check(parts, "t", time.Second)
+				x.RecordAnswer(parts, "", time.Second)
+			}
+		})
+	}
+	b.Run("check of a blocked one", func(b *testing.B) {
+		x := filled()
+		blocked := Parts(longestPrompt("d"))
+		for b.Loop() {
+			x.Check(blocked, "t", 2*time.Second)
+		}
+	})
+	b.Run("blame", func(b *testing.B) {
+		x := filled()
+		for i := 0; b.Loop(); i++ {
+			x.ReportLoss(EndID(100+i), Loss{Team: "t", Parts: Parts(longestPrompt(fmt.Sprint(i, "x"))), Answering: true}, time.Duration(i)*time.Second)
+			x.Advance(time.Duration(i+1) * time.Second)
+		}
+	})
+	b.Run("share", func(b *testing.B) {
+		x := filled()
+		size := 0
+		for b.Loop() {
+			size = 0
+			for _, m := range x.Encode(2 * time.Second) {
+				size += len(m.Hints)
+			}
+		}
+		b.ReportMetric(float64(size), "hint-B")
+	})
 }
 
 // TestOddMessages guards against records that hold for ever, or end the process, because of odd
@@ -242,6 +382,7 @@
 // part, because the others send it only the many parts that were suspected since.
 func TestBlockedPartsAreSharedFirst(t *testing.T) {
 	x := newTestTable(t, "h")
+	x.cfg.MaxRecords = 256 // So that the table is full before the first trial is due.
 	x.end("a", "deadly")
 	for i := range 2 * x.cfg.MaxRecords {
 		x.lose(Loss{Parts: []id.Part{id.Part(fmt.Sprint("suspected", i))}})
--- a/core/bounded/map.go
+++ b/core/bounded/map.go
@@ -1,6 +1,8 @@
 // Package bounded provides containers with a bounded number of elements.
 package bounded
 
+import "iter"
+
 // Map is a map that evicts the oldest keys in bulk. When the current generation is full, it
 // replaces the previous one, whose keys are evicted. Use NewMap.
 type Map[K comparable, V any] struct {
@@ -51,5 +53,18 @@
 	clear(m.previous)
 }
 
+// All returns all keys and values, in no order.
+func (m *Map[K, V]) All() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, generation := range []map[K]V{m.current, m.previous} {
+			for k, v := range generation {
+				if !yield(k, v) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Len returns the number of keys.
 func (m *Map[K, V]) Len() int { return len(m.current) + len(m.previous) }
