A reset during an upload is a break, not the end of an answer

Cause: Linux reports a reset once. If the write of the body got the report, its error was dropped and the next read returned the end of the data, which ends an answer without a length.

Ruled out: the state of the socket at the end, which is the same after a reset and after a FIN with a reset.

Change: a connection keeps the errors of its writes. At the end of the data a write in progress is ended and its error decides: a FIN leaves none, the deadline or EPIPE. The clients of plain services and of the store, which write while they read, use the same connection.

--- a/agent/oneshot/conn.go
+++ b/agent/oneshot/conn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/siskinford/siskinford/core/dial"
 )
 
 var errSealed = errors.New("connection carries no more requests")
@@ -69,6 +71,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &sealableConn{Conn: conn}, nil
+		return &sealableConn{Conn: dial.NewEndConn(conn)}, nil
 	}
 }
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/siskinford/siskinford/core/dial"
 	"github.com/siskinford/siskinford/core/httpstatus"
 )
 
@@ -77,6 +78,8 @@
 type conn struct {
 	net.Conn
 	pool *Pool
+	// data carries all reads and writes of Conn.
+	data *dial.EndConn
 	br   *bufio.Reader
 	// head is the source of br.
 	head *headLimiter
@@ -100,18 +103,21 @@
 	closed   bool
 }
 
-// trackedBody records whether a body was read to its end.
+// trackedBody records whether a body was read to its end. An error is returned again by later reads: the connection
+// would return io.EOF.
 type trackedBody struct {
 	io.Reader
 	ended bool
+	err   error
 }
 
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if err == io.EOF {
-		b.ended = true
+func (b *trackedBody) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
 	}
-	return n, err
+	n, b.err = b.Reader.Read(p)
+	b.ended = b.err == io.EOF
+	return n, b.err
 }
 
 // Body returns the response body. It ends with io.EOF only if it is complete.
@@ -252,7 +258,7 @@
 	}
 	c.writing.Store(true)
 	go func() {
-		if _, err := c.Write(r.Body); err == nil {
+		if _, err := c.data.Write(r.Body); err == nil {
 			c.writing.Store(false)
 		}
 	}()
@@ -260,7 +266,7 @@
 }
 
 func (c *conn) write(b []byte) error {
-	n, err := c.Write(b)
+	n, err := c.data.Write(b)
 	if err != nil && n == 0 {
 		return &NotSentError{Cause: err}
 	}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -136,8 +136,9 @@
 		p.release()
 		return nil, errors.Wrapf(err, "connect to %s", p.cfg.Address)
 	}
-	head := &headLimiter{Reader: nc}
-	return &conn{Conn: nc, pool: p, br: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+	data := dial.NewEndConn(nc)
+	head := &headLimiter{Reader: data}
+	return &conn{Conn: nc, data: data, pool: p, br: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 // takeIdle returns the most recently used idle connection that is usable and closes
--- a/fleet/objectapi/client.go
+++ b/fleet/objectapi/client.go
@@ -172,7 +172,7 @@
 func newTransport(cfg ClientConfig, oneRequestPerConn bool) *http.Transport {
 	d := dial.Config{Source: cfg.Source, Timeout: cfg.CallTimeout, KeepAliveInterval: cfg.KeepAlive, KeepAliveProbes: keepAliveProbes}
 	return &http.Transport{
-		DialContext:       d.Dialer().DialContext,
+		DialContext:       d.DialEndConn,
 		DisableKeepAlives: oneRequestPerConn,
 		IdleConnTimeout:   idleConnTimeout,
 		Protocols:         http1Only(),
