Endpoints that left stay out when the store returns from a copy

Cause: a departure was dropped if the endpoint was not listed any more, and a removal held against the copy only if the copy had the bytes of the last write.

Ruled out: departures of unlisted endpoints by other entries, whose messages name no service.

Change: an endpoint's own word is kept for an unlisted registration, and a removal is compared by the creation of the registration.

--- a/entry/direct/departures.go
+++ b/entry/direct/departures.go
@@ -44,22 +44,23 @@
 )
 
 // MarkLeaving takes an endpoint out of use that said that it is leaving. Registration is the
-// revision of the registration that it speaks of, zero for the current one.
+// revision of the registration that it speaks of, zero for the current one. What an endpoint says in its own
+// last responses counts also after its removal from the list: an older list may bring it back.
 func (s *Service) MarkLeaving(name id.Endpoint, registration uint64, source DepartureSource) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.backends[name]
-	if b == nil {
+	switch {
+	case b == nil && (registration == 0 || source != OwnResponse):
 		return
-	}
-	if registration == 0 {
+	case registration == 0:
 		registration = b.Endpoint().RegistrationRevision
 	}
 	if d, ok := s.departures[name]; ok && d.registration >= registration {
 		return
 	}
 	s.departures[name] = departure{registration: registration, at: s.now(), source: source}
-	if !s.isUsable(b.Endpoint()) {
+	if b != nil && !s.isUsable(b.Endpoint()) {
 		s.scheduler.SetUsable(name, false)
 	}
 	s.countSignal("leaving")
--- a/entry/direct/departures_test.go
+++ b/entry/direct/departures_test.go
@@ -129,6 +129,28 @@
 	})
 }
 
+// TestDepartureAfterRemoval guards against an endpoint that says that it is leaving in answers after its removal from
+// the list, and is used again when an older list has it.
+func TestDepartureAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, set := newTestService(map[id.Endpoint]uint64{"a": 5})
+		set(nil)
+		s.MarkLeaving("a", 5, OwnResponse)
+		set(map[id.Endpoint]uint64{"a": 5})
+		_, d := s.try(t)
+		assert.Equal(t, d.Reason, scheduler.NoEndpoint)
+		set(map[id.Endpoint]uint64{"a": 9})
+		name, _ := s.try(t)
+		assert.Equal(t, name, id.Endpoint("a"), "another start of it")
+		set(nil)
+		s.MarkLeaving("a", 0, OwnResponse)
+		s.MarkLeaving("other", 7, CellMember)
+		time.Sleep(2 * departureTTL)
+		set(nil)
+		assert.Equal(t, len(s.departures), 0)
+	})
+}
+
 // TestBackOffSurvivesLapse covers an endpoint that disappears from the list and returns during
 // its pause.
 func TestBackOffSurvivesLapse(t *testing.T) {
--- a/entry/edge/era_test.go
+++ b/entry/edge/era_test.go
@@ -208,6 +208,21 @@
 	assert.Equal(t, a.table.Version(), uint64(8))
 }
 
+// TestRemovalHoldsAgainstEarlierWrites guards against a removed endpoint that a copy brings back, because its
+// registration was changed between the copy and its removal.
+func TestRemovalHoldsAgainstEarlierWrites(t *testing.T) {
+	r := newReturned()
+	a := object("a", `{"address":"1","draining":false}`, 3)
+	r.replaceEndpoints([]objectapi.Object{a}, 6)
+	r.applyEndpointEvents([]objectapi.Object{{Name: "a", Value: []byte(`{"address":"1","draining":true}`), Created: 3, Revision: 7}}, 7)
+	r.applyEndpointEvents([]objectapi.Object{removedObject("a", 8)}, 8)
+	assert.Equal(t, len(r.names()), 0)
+	r.replaceEndpoints([]objectapi.Object{inEra(1, a)}, objectapi.ComposeVersion(1, 6))
+	assert.Equal(t, len(r.names()), 0)
+	r.applyEndpointEvents([]objectapi.Object{inEra(1, objectapi.Object{Name: "a", Value: []byte(`{"address":"2"}`), Created: 3, Revision: 9})}, objectapi.ComposeVersion(1, 9))
+	assert.DeepEqual(t, r.names(), []string{"a"}) // Written again in the new era.
+}
+
 // TestRemovalsAreBounded guards against a registry of removals that grows with each rollout.
 func TestRemovalsAreBounded(t *testing.T) {
 	r := newReturned()
--- a/entry/edge/hold.go
+++ b/entry/edge/hold.go
@@ -29,7 +29,12 @@
 // sameWrite reports whether two registrations of an endpoint are the same one, if that of a copy
 // is read in a later era.
 func (r registration) sameWrite(o registration) bool {
-	return objectapi.WithoutEra(r.Created) == objectapi.WithoutEra(o.Created) && bytes.Equal(r.Value, o.Value)
+	return r.sameCreation(o) && bytes.Equal(r.Value, o.Value)
+}
+
+// sameCreation reports whether two registrations of an endpoint have the same creation, whatever was written since.
+func (r registration) sameCreation(o registration) bool {
+	return objectapi.WithoutEra(r.Created) == objectapi.WithoutEra(o.Created)
 }
 
 func (r *registrations) clock() time.Time {
@@ -101,7 +106,7 @@
 	}
 	for name, l := range listed {
 		x, removed := r.removed[name]
-		if _, known := before[name]; !known && removed && now.Sub(x.at) < removalTTL && x.sameWrite(l) {
+		if _, known := before[name]; !known && removed && now.Sub(x.at) < removalTTL && x.sameCreation(l) {
 			held[name] = nil
 		}
 	}
