A crowd of unfinished bodies leaves room for new connections

Cause: a full listener closed one stalled connection and waited for its end, 300 ms if a body was being read.

Ruled out: not counting connections that are about to end, whose descriptors are taken; closing them without their refusal.

Change: an eighth of the places is kept free, or about to be, by closing stalled connections. Idle ones go one at a time, when none is left.

--- a/entry/intake/listener.go
+++ b/entry/intake/listener.go
@@ -14,6 +14,9 @@
 	// acceptStallTime is the time without progress after which a connection may be closed for one that waits in the
 	// backlog. It is short because ordinary callers wait there behind a crowd.
 	acceptStallTime = 100 * time.Millisecond
+	// reserveDivisor is the part of the connections that is kept free, or about to be, by closing stalled ones. A
+	// connection whose body is refused takes some 300 ms to end, so this part of them ends in that time.
+	reserveDivisor = 8
 	// progressBytes is the number of bytes that counts as progress.
 	progressBytes = 512
 	// connBytes is what a connection without a request counts in the choice of the one to close: its goroutine
@@ -38,6 +41,9 @@
 	freed  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+
+	// lastSearch is the time of the last search for stalled connections; used by Accept only.
+	lastSearch time.Time
 }
 
 // Listen bounds a listener by the account's share for its kind.
@@ -66,9 +72,12 @@
 	return len(l.conns)
 }
 
-// Accept implements net.Listener. While the listener is full, it closes stalled connections, and new ones wait
-// in the backlog of the operating system.
+// Accept implements net.Listener. While few places are free, it closes stalled connections. While the listener is full,
+// new ones wait in the backlog of the operating system.
 func (l *Listener) Accept() (net.Conn, error) {
+	if now := time.Now(); l.limit > 0 && l.count() >= l.limit-l.reserve() && now.Sub(l.lastSearch) >= acceptInterval {
+		l.makeRoom(now)
+	}
 	for l.full() {
 		l.makeRoom(time.Now())
 		select {
@@ -95,22 +104,31 @@
 	return l.Listener.Close()
 }
 
-// makeRoom closes the connection that holds most for longest, unless one is about to end.
+// reserve returns the number of places that are kept free by closing stalled connections.
+func (l *Listener) reserve() int { return l.limit / reserveDivisor }
+
+// makeRoom closes the connections that hold most for longest, until the reserve is free or about to be. It closes one
+// that is idle after a request only if the listener is full and no other is about to end.
 func (l *Listener) makeRoom(now time.Time) {
+	l.lastSearch = now
 	found, _ := l.candidates(nil, now, acceptStallTime)
 	l.mu.Lock()
-	ending := 0
+	open, ending := len(l.conns), 0
 	for c := range l.conns {
 		if c.evicted.Load() {
 			ending++
 		}
 	}
 	l.mu.Unlock()
-	if len(found) == 0 || ending > 0 {
-		return
+	slices.SortFunc(found, candidate.compare)
+	for _, c := range found {
+		if ending > 0 && (c.idle || open-ending <= l.limit-l.reserve()) || c.idle && open < l.limit {
+			return
+		}
+		c.conn.evict()
+		l.account.closedDescriptors.Inc()
+		ending++
 	}
-	slices.MinFunc(found, candidate.compare).conn.evict()
-	l.account.closedDescriptors.Inc()
 }
 
 // candidates appends the connections that may be closed for others, without progress for a time. ending are the bytes held by those that were
