Event IDs need only increase

Cause: an ID other than the last one plus 1 counted as a gap.

Change: within an attempt any increase is in order. Where another endpoint goes on, a step greater than all before is a gap. IDs that decrease end the stream, which is not resumed.

--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -97,19 +97,64 @@
 	inOrder eventOrder = iota
 	duplicate
 	gap
+	// disorder means that the endpoint's IDs decrease, so that none of them can be relied on.
+	disorder
 )
 
-// compareEventIDs compares the IDs of consecutive events. Duplicates and gaps are detected
-// for numeric IDs only.
-func compareEventIDs(last, eventID string) eventOrder {
-	lastSeq, err1 := strconv.ParseUint(last, 10, 64)
+// eventSequence is the position in a series of events with increasing IDs. Endpoints choose the steps between them: an
+// event may hold several tokens, and be numbered by them.
+type eventSequence struct {
+	// lastEventID is the ID of the last event forwarded.
+	lastEventID string
+	// step is the greatest increase so far, zero if unknown.
+	step uint64
+}
+
+// compare returns the order of the next event. starts is true for the first event of an attempt: one that continues
+// another endpoint's series may have left out events, and has if the step is greater than any before. Within an attempt
+// the endpoint's own series is complete. Only numeric IDs are compared.
+func (s *eventSequence) compare(eventID string, starts bool) eventOrder {
+	last, err1 := strconv.ParseUint(s.lastEventID, 10, 64)
 	seq, err2 := strconv.ParseUint(eventID, 10, 64)
 	switch {
-	case err1 != nil || err2 != nil || seq == lastSeq+1:
+	case err1 != nil || err2 != nil:
 		return inOrder
-	case seq <= lastSeq:
+	case seq <= last:
 		return duplicate
-	default:
+	case starts && s.step > 0 && seq-last > s.step:
 		return gap
 	}
+	return inOrder
+}
+
+// advance records an event that was forwarded.
+func (s *eventSequence) advance(eventID string) {
+	if eventID == "" {
+		return
+	}
+	last, err := strconv.ParseUint(s.lastEventID, 10, 64) // Zero before the first event.
+	if seq, err2 := strconv.ParseUint(eventID, 10, 64); err2 == nil && seq > last && (err == nil || s.lastEventID == "") {
+		s.step = max(s.step, seq-last)
+	}
+	s.lastEventID = eventID
+}
+
+// attemptOrder orders the events of one attempt.
+type attemptOrder struct {
+	started bool
+	// greatest is the greatest numeric ID so far.
+	greatest uint64
+}
+
+// compare returns the order of the attempt's next event after a position.
+func (o *attemptOrder) compare(s *eventSequence, eventID string) eventOrder {
+	starts := !o.started
+	o.started = true
+	if seq, err := strconv.ParseUint(eventID, 10, 64); err == nil {
+		if seq < o.greatest {
+			return disorder
+		}
+		o.greatest = seq
+	}
+	return s.compare(eventID, starts)
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -32,8 +32,7 @@
 	// headerSent is true once the header was forwarded, mediaType is the type in it.
 	headerSent bool
 	mediaType  string
-	// lastEventID is the ID of the last event forwarded.
-	lastEventID string
+	eventSequence
 	// lastProgress is when an event was last forwarded, or the request's arrival.
 	lastProgress time.Time
 }
@@ -52,7 +51,7 @@
 
 // serveStream forwards a stream and resumes it at another endpoint if it breaks off.
 func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &streamWriter{w: w, rc: http.NewResponseController(w), streamPosition: streamPosition{lastEventID: q.info.LastEvent, lastProgress: q.began}}
+	s := &streamWriter{w: w, rc: http.NewResponseController(w), streamPosition: streamPosition{eventSequence: eventSequence{lastEventID: q.info.LastEvent}, lastProgress: q.began}}
 	if err := s.rc.SetWriteDeadline(q.deadline.Add(finalAnswerTime)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -98,7 +97,7 @@
 			h.endBlocked(w, q, s, v) // Without taking a retry from the budget.
 			return
 		}
-		if ctx.Err() != nil || !h.acquireRetry(q, slot, resp, err) {
+		if ctx.Err() != nil || errors.Is(err, errDisorder) || !h.acquireRetry(q, slot, resp, err) {
 			h.endStream(ctx, w, q, s, scheduler.Decision{}, resp, err)
 			return
 		}
@@ -156,6 +155,7 @@
 	// from is the position after which the attempt begins.
 	from     streamPosition
 	progress progress
+	order    attemptOrder
 	// begun is true once the answer was reported as begun.
 	begun   bool
 	outcome Outcome
@@ -198,10 +198,10 @@
 			return err
 		}
 		if err == nil {
-			switch compareEventIDs(a.from.lastEventID, eventID) {
+			switch a.order.compare(&a.from.eventSequence, eventID) {
 			case duplicate:
 				continue
-			case gap:
+			case gap, disorder:
 				return gapError(a.from.lastEventID, eventID)
 			}
 		}
@@ -325,6 +325,9 @@
 	}
 }
 
+// errDisorder ends a stream that cannot be resumed, since the ID after which it would be is not known.
+var errDisorder = errors.New("the IDs of events decrease")
+
 func gapError(last, eventID string) error {
 	return errors.Newf("event %q follows event %q", eventID, last)
 }
@@ -348,19 +351,19 @@
 			a.begun = true
 			q.service.quarantine.answered(q)
 		}
-		switch compareEventIDs(s.lastEventID, eventID) {
+		switch a.order.compare(&s.eventSequence, eventID) {
 		case duplicate:
 			continue
 		case gap:
 			return gapError(s.lastEventID, eventID)
+		case disorder:
+			return errors.Mark(gapError(s.lastEventID, eventID), errDisorder)
 		}
 		s.sendHeader(a.x)
 		if err := s.write(event); err != nil {
 			return &clientGoneError{cause: err}
 		}
-		if eventID != "" {
-			s.lastEventID = eventID
-		}
+		s.advance(eventID)
 		if s.recordEvent(time.Now(), q.began) {
 			h.requestLog.firstEvent(q, s.firstEventAfter)
 		}
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -249,6 +251,71 @@
 	}
 }
 
+// numbered streams events with the given IDs after the client's last one, and breaks off after one of them.
+func numbered(ids []int, brk int) script {
+	return func(_ int, w http.ResponseWriter, r *http.Request) {
+		last, err := strconv.Atoi(r.Header.Get("Last-Event"))
+		if err != nil {
+			last = -1
+		}
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Request", r.Header.Get("Request"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, n := range ids {
+			if n > last {
+				_, _ = fmt.Fprintf(w, "id: %d\n\n", n)
+			}
+			if brk > 0 && n == brk {
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+// TestEventIDsIncrease guards against sound streams that are cut because their IDs increase by more than one, and
+// against events that are left out where another endpoint goes on, or sent in a wrong order.
+func TestEventIDsIncrease(t *testing.T) {
+	byTokens := []int{4, 8, 11, 15, 19, 20}
+	for name, c := range map[string]struct {
+		first, second []int
+		brk           int
+		last          string
+		want          []int
+		broken        bool
+	}{
+		"by tokens":                       {byTokens, nil, 0, "", byTokens, false},
+		"by tokens, resumed":              {byTokens, byTokens, 11, "", byTokens, false},
+		"by tokens, resumed after one":    {byTokens, byTokens, 4, "", byTokens, false},
+		"by tokens, resumed by client":    {byTokens, nil, 0, "8", byTokens[2:], false},
+		"by tokens, one left out":         {byTokens, []int{4, 8, 19, 20}, 11, "", []int{4, 8, 11}, true},
+		"by one, one left out":            {[]int{1, 2, 3, 4}, []int{1, 2, 4}, 2, "", []int{1, 2}, true},
+		"by one, second one left out":     {[]int{1, 2, 3, 4}, []int{1, 3, 4}, 1, "", []int{1}, true},
+		"by one, then by more":            {[]int{1, 2, 5, 6}, nil, 0, "", []int{1, 2, 5, 6}, false},
+		"one wrong":                       {[]int{1, 2, 900, 4, 5}, []int{1, 2, 3, 4, 5}, 0, "", []int{1, 2, 900}, true},
+		"one twice":                       {[]int{1, 2, 2, 3}, nil, 0, "", []int{1, 2, 3}, false},
+		"from zero":                       {[]int{0, 1, 2}, []int{0, 1, 2}, 1, "", []int{0, 1, 2}, false},
+		"by tokens, overlap at the other": {byTokens, append([]int{0}, byTokens...), 8, "", byTokens, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", numbered(c.first, c.brk)), newBackend(t, "b", numbered(c.second, 0))
+			e := newEntry(t, stream, a, b)
+			e.handler.Service("s").MarkUnreachable("b")
+			var header []string
+			if c.last != "" {
+				header = append(header, "Last-Event: "+c.last)
+			}
+			got := e.send(http.MethodPost, header...)
+			var want strings.Builder
+			for _, n := range c.want {
+				fmt.Fprintf(&want, "id: %d\n\n", n)
+			}
+			assert.Equal(t, got.body, want.String())
+			assert.Equal(t, got.err != nil, c.broken, "%v", got.err)
+		})
+	}
+}
+
 func TestEventReader(t *testing.T) {
 	cases := map[string]struct {
 		in     string
