Hedges: refusals of the first attempt are recorded, failed hedges wait for no one

Found when the change was read again. If the first attempt of a hedged request was refused while the hedge went on, the refusal was not recorded: an endpoint whose address belongs to another instance stayed in use. A buffered request whose first attempt failed while its failed hedge looked for a third endpoint waited for that search instead of its own.

Change: the refusal is recorded on both paths, and a failed hedge ends if the first attempt has ended. The loop of the full listener is written in plainer conditions.

Measured: the tests of entry/intake and of silence, hedges, events and refusals in entry/direct pass with the race detector, 1 run.

--- a/entry/direct/hedge.go
+++ b/entry/direct/hedge.go
@@ -86,7 +86,7 @@
 	done   chan struct{}
 
 	mu sync.Mutex // leaf lock
-	// sent is true once an endpoint was found for the hedge, over once the first attempt has ended without it.
+	// sent is true while the hedge is at an endpoint, over once the first attempt has ended without it.
 	sent, over bool
 }
 
@@ -103,6 +103,14 @@
 	return g.sent
 }
 
+// end records that what was sent has failed, and reports whether the hedge may be sent once more.
+func (g *hedge) end() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sent = false
+	return !g.over
+}
+
 // await waits for the end of the hedge after the first attempt failed. A hedge that has found no endpoint is given up.
 func (g *hedge) await() {
 	g.mu.Lock()
@@ -157,6 +165,7 @@
 		return resp, slot, nil
 	}
 	if g.await(); hedged != nil {
+		h.recordRefusal(q, slot, resp)
 		return hedged, hedgedSlot, nil
 	}
 	return resp, slot, err
@@ -182,6 +191,9 @@
 		if err == nil {
 			return resp, slot
 		}
+		if !g.end() {
+			return nil, nil
+		}
 	}
 	return nil, nil
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -89,6 +89,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if a != nil {
+			h.recordRefusal(q, slot, resp)
 			q.exclude(slot.Backend.Name)
 			continue
 		}
--- a/entry/intake/listener.go
+++ b/entry/intake/listener.go
@@ -122,7 +122,10 @@
 	l.mu.Unlock()
 	slices.SortFunc(found, candidate.compare)
 	for _, c := range found {
-		if ending > 0 && (c.idle || open-ending <= l.limit-l.reserve()) || c.idle && open < l.limit {
+		if c.idle && (open < l.limit || ending > 0) {
+			return
+		}
+		if ending > 0 && open-ending <= l.limit-l.reserve() {
 			return
 		}
 		c.conn.evict()
