--- a/core/dial/end.go
+++ b/core/dial/end.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // ErrBroken reports that a connection broke instead of being closed by its peer.
@@ -57,12 +57,12 @@
 		return n, err
 	}
 	if err := c.Conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
-		return n, errors.WithSecondaryError(ErrBroken, err)
+		return n, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.broken != nil {
-		return n, errors.WithSecondaryError(ErrBroken, c.broken)
+		return n, fmt.Errorf("%w: %w", ErrBroken, c.broken)
 	}
 	return n, io.EOF
 }
--- a/core/dial/end_test.go
+++ b/core/dial/end_test.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -8,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
