quarantine: the benchmark's comment says what it covers

Readers saw a comment about what the benchmark measures, which its name and cases say already, and not why it is there.

Cause: it was written from the question that the figures answer.

Change: it names the time under the table's lock.

--- a/balance/quarantine/table_test.go
+++ b/balance/quarantine/table_test.go
@@ -292,8 +292,8 @@
 	}
 }
 
-// BenchmarkLongestPrompt measures what the longest legal prompt costs, without records, with those of four such
-// prompts, and when its loss is blamed and sent to another entry.
+// BenchmarkLongestPrompt covers the time under the table's lock for the longest legal prompt: without records, with a
+// full table, and when its loss is blamed and sent to another entry.
 func BenchmarkLongestPrompt(b *testing.B) {
 	names := longestPrompt("z")
 	parts := Parts(names)
