A silent hedge is hedged in turn

Callers of a route with three attempts got 504 at their deadline, or a stream that broke off, if the second endpoint was as silent as the first one, although a third one was free. With: two or three silent endpoints, target 0.5 s, deadline 5 s.

Cause: since a silent attempt goes on beside its hedge, and only the first attempt was watched.

Ruled out: ending the silent hedge as the next one starts. It is what runs, and the next one may be no better.

Change: hedges are watched and hedged like first attempts, within the route's attempts and the retry budget. Of two attempts that go on at the same moment one is accepted and the other one abandoned, never both ended.

--- a/entry/direct/buffered.go
+++ b/entry/direct/buffered.go
@@ -40,7 +40,7 @@
 			slot.Release(Neutral)
 			continue
 		}
-		resp, slot, err = h.attemptBuffered(ctx, q, slot)
+		resp, slot, err = h.attemptBuffered(ctx, q, slot, nil)
 		q.service.quarantine.end(q)
 		if err != nil {
 			v, ok := q.service.quarantine.admit(ctx, q)
--- a/entry/direct/handler.go
+++ b/entry/direct/handler.go
@@ -237,11 +237,11 @@
 	return len(a.excluded) > 0
 }
 
-// excludedAnd returns the excluded endpoints and another one.
-func (a *attemptCounts) excludedAnd(name id.Endpoint) []id.Endpoint {
+// excludedAnd returns the excluded endpoints and others.
+func (a *attemptCounts) excludedAnd(names ...id.Endpoint) []id.Endpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return append(slices.Clone(a.excluded), name)
+	return slices.Concat(a.excluded, names)
 }
 
 // ServeHTTP implements http.Handler.
--- a/entry/direct/hedge.go
+++ b/entry/direct/hedge.go
@@ -3,17 +3,19 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/siskinford/siskinford/balance/scheduler"
+	"github.com/siskinford/siskinford/core/id"
 )
 
 // A hedge is a second attempt that is sent to another endpoint while the first one is silent. The first one goes on
 // until the hedge has what the client needs: an endpoint that is silent may still answer, and another one that looks
-// free may refuse, fail or be silent too.
+// free may refuse, fail or be silent too. A hedge that is silent itself is hedged in the same way.
 
 const (
 	// hedgeTargets is the time after which a buffered request is hedged, as a multiple of the target latency.
@@ -35,20 +37,36 @@
 	return q.route.Retryable() && q.counted() < q.route.MaxAttempts && q.service.quarantine.passes(q)
 }
 
-// acquireHedge waits until the request may be sent to an endpoint other than the silent one and takes a retry from
+// silentSlots are the slots of the attempts of a request that are under way without an answer, in the order of their
+// start.
+type silentSlots []*Slot
+
+func (l silentSlots) and(s *Slot) silentSlots { return append(slices.Clone(l), s) }
+
+func (l silentSlots) last() *Slot { return l[len(l)-1] }
+
+func (l silentSlots) names() []id.Endpoint {
+	out := make([]id.Endpoint, len(l))
+	for i, s := range l {
+		out[i] = s.Backend.Name
+	}
+	return out
+}
+
+// acquireHedge waits until the request may be sent to an endpoint other than the silent ones and takes a retry from
 // the budget. It returns nil if no endpoint takes it now, no retry is left or ctx ends.
-func (h *Handler) acquireHedge(ctx context.Context, q *request, silent *Slot, r scheduler.Request) (*Slot, scheduler.Decision) {
-	r.Exclude = q.excludedAnd(silent.Backend.Name)
+func (h *Handler) acquireHedge(ctx context.Context, q *request, silent silentSlots, r scheduler.Request) (*Slot, scheduler.Decision) {
+	r.Exclude = q.excludedAnd(silent.names()...)
 	slot, d := h.acquire(ctx, q, r)
 	if slot == nil {
 		return nil, d
 	}
-	silent.RecordHang()
+	silent.last().RecordHang()
 	if !q.mayHedge() || !q.service.AcquireRetry() {
 		slot.Release(Neutral)
 		return nil, d
 	}
-	h.requestLog.repeated(q, silent.Backend.Name, nil, "the endpoint is silent")
+	h.requestLog.repeated(q, silent.last().Backend.Name, nil, "the endpoint is silent")
 	return slot, d
 }
 
@@ -88,6 +106,8 @@
 	mu sync.Mutex // leaf lock
 	// sent is true while the hedge is at an endpoint, over once the first attempt has ended without it.
 	sent, over bool
+	// accepted is true once the request goes on with the hedge, abandoned once it goes on without.
+	accepted, abandoned bool
 }
 
 func newHedge(ctx context.Context) (context.Context, *hedge) {
@@ -122,10 +142,25 @@
 	<-g.done
 }
 
-// abandon ends the hedge and waits until it has ended.
-func (g *hedge) abandon() {
-	g.cancel(errNotHedged)
+// accept reports whether the request goes on with the hedge, which has what the client needs. The first attempt may
+// have gone on before.
+func (g *hedge) accept() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.accepted = !g.abandoned
+	return g.accepted
+}
+
+// abandon ends the hedge unless it was accepted, waits until it has ended, and reports whether it was abandoned.
+func (g *hedge) abandon() bool {
+	g.mu.Lock()
+	g.abandoned = !g.accepted
+	if g.abandoned {
+		g.cancel(errNotHedged)
+	}
+	g.mu.Unlock()
 	<-g.done
+	return g.abandoned
 }
 
 // hedgeDelay returns the time after which a buffered request is hedged, false if it is not.
@@ -138,11 +173,13 @@
 }
 
 // attemptBuffered sends the request to the slot's endpoint, and to another one too if that takes long. It returns the
-// first final answer and the slot of its endpoint, or else the result of the first attempt.
-func (h *Handler) attemptBuffered(ctx context.Context, q *request, slot *Slot) (*response, *Slot, error) {
+// first final answer and the slot of its endpoint, or else the result at the slot. A hedge is sent over a fresh
+// connection, while the silent attempts go on.
+func (h *Handler) attemptBuffered(ctx context.Context, q *request, slot *Slot, silent silentSlots) (*response, *Slot, error) {
+	fresh := len(silent) > 0
 	delay, ok := q.hedgeDelay()
 	if !ok {
-		resp, err := h.exchangeBuffered(ctx, q, slot, false)
+		resp, err := h.exchangeBuffered(ctx, q, slot, fresh)
 		return resp, slot, err
 	}
 	firstCtx, cancelFirst := context.WithCancelCause(ctx)
@@ -155,11 +192,11 @@
 	go func() {
 		defer close(g.done)
 		pauseFor(hedgeCtx, delay, nil)
-		if hedged, hedgedSlot = h.hedgeBuffered(hedgeCtx, q, slot, g); hedged != nil {
+		if hedged, hedgedSlot = h.hedgeBuffered(hedgeCtx, q, silent.and(slot), g); hedged != nil {
 			cancelFirst(errHedged)
 		}
 	}()
-	resp, err := h.exchangeBuffered(firstCtx, q, slot, false)
+	resp, err := h.exchangeBuffered(firstCtx, q, slot, fresh)
 	if isFinal(resp, err) {
 		g.abandon()
 		return resp, slot, nil
@@ -171,9 +208,9 @@
 	return resp, slot, err
 }
 
-// hedgeBuffered sends the request to endpoints other than the silent one until one gives a final answer, the attempts
+// hedgeBuffered sends the request to endpoints other than the silent ones until one gives a final answer, the attempts
 // or the budget are used up or ctx ends.
-func (h *Handler) hedgeBuffered(ctx context.Context, q *request, silent *Slot, g *hedge) (*response, *Slot) {
+func (h *Handler) hedgeBuffered(ctx context.Context, q *request, silent silentSlots, g *hedge) (*response, *Slot) {
 	for ctx.Err() == nil && q.counted() < q.route.MaxAttempts {
 		slot, d := h.acquireHedge(ctx, q, silent, q.schedulerRequest())
 		if slot == nil {
@@ -184,12 +221,16 @@
 			slot.Release(Neutral)
 			return nil, nil
 		}
-		resp, err := h.exchangeBuffered(ctx, q, slot, true)
-		h.recordRefusal(q, slot, resp)
+		resp, answered, err := h.attemptBuffered(ctx, q, slot, silent)
+		h.recordRefusal(q, answered, resp)
 		err = notFinalError(resp, err)
-		h.logHedge(ctx, q, silent, slot, err)
+		if answered != slot {
+			h.logHedge(ctx, q, silent.last(), slot, errHedged)
+		} else {
+			h.logHedge(ctx, q, silent.last(), slot, err)
+		}
 		if err == nil {
-			return resp, slot
+			return resp, answered
 		}
 		if !g.end() {
 			return nil, nil
--- a/entry/direct/hedge_test.go
+++ b/entry/direct/hedge_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/siskinford/siskinford/balance/scheduler"
+	"github.com/siskinford/siskinford/core/id"
 	"github.com/siskinford/siskinford/entry/routes"
 )
 
@@ -238,3 +240,79 @@
 		})
 	}
 }
+
+// TestSilentHedgeIsLeft guards against requests that stay at the second endpoint, which is as silent as the first one,
+// although the route allows further attempts and another endpoint is free.
+func TestSilentHedgeIsLeft(t *testing.T) {
+	timeouts := silenceTimeoutsOf(&stream)
+	const (
+		slack    = 500 * time.Millisecond
+		buffered = hedgeTargets * 500 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		route  routes.Route
+		silent script
+		// after is the time until the first endpoint is left, next until each further one is.
+		after, next time.Duration
+		// most is the number of silent endpoints that can be left before clients leave.
+		most int
+	}{
+		"between events": {stream, pauseAfter(2, 9, sleep(time.Hour)), timeouts.next, timeouts.next, 2},
+		"buffered":       {routes.Route{Kind: routes.Idempotent}, hang, buffered, buffered, 3},
+	} {
+		for silent := 2; silent <= c.most; silent++ {
+			t.Run(fmt.Sprintf("%s, %d silent", name, silent), func(t *testing.T) {
+				t.Parallel()
+				answer, want := respondOK("ok"), "ok"
+				if c.route.Kind == routes.Streaming {
+					answer, want = events(3, 0, 0), wantEvents(1, 3)
+				}
+				route := c.route
+				route.MaxAttempts = silent + 1
+				backends := []*backend{newBackend(t, "a", c.silent)}
+				for i := 1; i < silent; i++ {
+					backends = append(backends, newBackend(t, fmt.Sprintf("b%d", i), hang))
+				}
+				backends = append(backends, newBackend(t, "c", answer))
+				e := newEntry(t, route, backends...)
+				s := e.handler.Service("s")
+				keepActive(t, s)
+				s.mu.Lock()
+				for i, b := range backends { // The first one is the first choice, and so on.
+					s.scheduler.SetPeerLoad(id.Endpoint(b.name), scheduler.Load{Running: i})
+				}
+				s.mu.Unlock()
+				got := e.send(http.MethodPost)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				assert.Equal(t, got.body, want)
+				expected := c.after + time.Duration(silent-1)*c.next
+				assert.Assert(t, got.took >= expected-slack && got.took < expected+slack, "%v, expected %v", got.took, expected)
+				for _, b := range backends {
+					assert.Equal(t, len(b.requests()), 1, b.name)
+				}
+				assert.Equal(t, len(s.ownLoads()), 0)
+			})
+		}
+	}
+}
+
+// TestHedgeIsEitherAcceptedOrAbandoned guards against a request that loses both its attempts if both go on at the same
+// moment: each would end the other one.
+func TestHedgeIsEitherAcceptedOrAbandoned(t *testing.T) {
+	for name, acceptFirst := range map[string]bool{"hedge first": true, "first attempt first": false} {
+		t.Run(name, func(t *testing.T) {
+			ctx, g := newHedge(t.Context())
+			close(g.done)
+			if acceptFirst {
+				assert.Assert(t, g.accept())
+				assert.Assert(t, !g.abandon())
+				assert.NilError(t, ctx.Err())
+				return
+			}
+			assert.Assert(t, g.abandon())
+			assert.Assert(t, !g.accept())
+			assert.Equal(t, context.Cause(ctx), errNotHedged)
+		})
+	}
+}
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -56,7 +56,7 @@
 // runHedge sends the rest of the stream to another endpoint and ends the silent attempt once that goes on with it.
 func (w *silenceWatchdog) runHedge(ctx context.Context, g *hedge, from streamPosition) {
 	defer close(g.done)
-	a := w.handler.hedgeStream(ctx, w.request, w.attempt.slot, g, from)
+	a := w.handler.hedgeStream(ctx, w.request, silentSlots{w.attempt.slot}, g, from)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
@@ -128,9 +128,9 @@
 	return w.won
 }
 
-// hedgeStream begins the rest of a stream at an endpoint other than the silent one. It returns the attempt once an
-// event or the end of the stream has arrived, nil if there is none.
-func (h *Handler) hedgeStream(ctx context.Context, q *request, silent *Slot, g *hedge, from streamPosition) *streamAttempt {
+// hedgeStream begins the rest of a stream at an endpoint other than the silent ones, and at a further one if that is
+// silent too. It returns the attempt once an event or the end of the stream has arrived, nil if there is none.
+func (h *Handler) hedgeStream(ctx context.Context, q *request, silent silentSlots, g *hedge, from streamPosition) *streamAttempt {
 	slot, _ := h.acquireHedge(ctx, q, silent, from.schedulerRequest(q))
 	if slot == nil {
 		return nil
@@ -140,6 +140,20 @@
 		return nil
 	}
 	a := newStreamAttempt(ctx, slot, from)
+	nextCtx, next := newHedge(ctx)
+	var won *streamAttempt
+	go func() {
+		defer close(next.done)
+		b := h.hedgeSilentHedge(nextCtx, q, silent.and(slot), next, from)
+		switch {
+		case b == nil:
+		case next.accept():
+			won = b
+			a.cancel(errHedged)
+		default:
+			b.close()
+		}
+	}()
 	resp, err := h.openStream(q, a, true)
 	h.recordRefusal(q, slot, resp)
 	if resp != nil {
@@ -149,10 +163,34 @@
 			err = h.fail(q, a, err)
 		}
 	}
-	h.logHedge(ctx, q, silent, slot, err)
+	if err != nil {
+		next.await()
+	} else if !next.abandon() {
+		err = errHedged
+	}
+	h.logHedge(ctx, q, silent.last(), slot, err)
 	if err != nil {
 		a.close()
-		return nil
+		return won
 	}
 	return a
 }
+
+// hedgeSilentHedge begins the rest of a stream at a further endpoint if a hedge is silent too while other streams of
+// the service are active.
+func (h *Handler) hedgeSilentHedge(ctx context.Context, q *request, silent silentSlots, g *hedge, from streamPosition) *streamAttempt {
+	timeouts := silenceTimeoutsOf(q.route)
+	pauseFor(ctx, timeouts.next, nil)
+	for ctx.Err() == nil && q.counted() < q.route.MaxAttempts {
+		if q.service.SinceLastEvent() <= timeouts.othersActive && q.mayHedge() {
+			if a := h.hedgeStream(ctx, q, silent, g, from); a != nil {
+				return a
+			}
+			if !g.end() {
+				return nil
+			}
+		}
+		pauseFor(ctx, timeouts.othersActive, nil)
+	}
+	return nil
+}
