quarantine: a hash stands for every part that has it

Requests with a harmful part reached an endpoint of an entry that had been sent its hash, because a sound part with the same hash was answered there.

Cause: an answer to a part, and its suspicion, dropped the hint of its hash.

Ruled out: longer hashes, which make it rarer only. Refusals of the sound part: it waits for a trial of its own, once.

A part with an answer or a record is not suspected by them.

--- a/balance/quarantine/hints.go
+++ b/balance/quarantine/hints.go
@@ -28,7 +28,8 @@
 }
 
 // suspectHinted suspects the parts of a request that are known by their hashes, unless this entry has seen an answer to
-// them. Their records have a lower version than those of the entry that blames the parts, which replace them.
+// them. Their records have a lower version than those of the entry that blames the parts, which replace them. The hints
+// stay, since another part may have the same hash.
 func (t *Table) suspectHinted(parts []id.Part, now time.Duration) {
 	if t.hints.Len() == 0 {
 		return
@@ -40,7 +41,6 @@
 		}
 	}
 	for i, p := range hinted {
-		t.dropHint(p)
 		if r := t.record(p, now); r != nil {
 			r.State, r.Companions, r.BlamedAt, r.ChangedAt = Suspected, newCompanions(hinted, i), now, now
 			t.emit(KindBlamed, r, "", true)
@@ -48,9 +48,16 @@
 	}
 }
 
-func (t *Table) dropHint(p id.Part) {
-	if t.hints.Len() > 0 {
-		t.hints.Remove(hintOf(p))
+// forgetHints drops the hints that came more than Config.ForgetAfter ago.
+func (t *Table) forgetHints(now time.Duration) {
+	var old []uint32
+	for h, at := range t.hints.All() {
+		if now-at > t.cfg.ForgetAfter {
+			old = append(old, h)
+		}
+	}
+	for _, h := range old {
+		t.hints.Remove(h)
 	}
 }
 
--- a/balance/quarantine/table.go
+++ b/balance/quarantine/table.go
@@ -117,6 +117,7 @@
 			t.emit(KindForgotten, r, "", false)
 		}
 	}
+	t.forgetHints(now)
 }
 
 // forgetFraction is the fraction of Config.ForgetAfter between searches for old records.
@@ -305,7 +306,6 @@
 	for _, p := range parts {
 		answers, _ := t.answered.Get(p)
 		t.answered.Put(p, answers+1)
-		t.dropHint(p)
 		r := t.records[p]
 		switch {
 		case r == nil || r.State == Cleared:
--- a/balance/quarantine/table_test.go
+++ b/balance/quarantine/table_test.go
@@ -292,6 +292,54 @@
 	}
 }
 
+// sameHash returns the IDs of two parts whose hints are the same.
+func sameHash(t *testing.T) (a, b string) {
+	t.Helper()
+	seen := make(map[uint32]string)
+	for i := range 1 << 20 {
+		name := fmt.Sprintf("f%07x", i)
+		h := hintOf(id.Part(name))
+		if other, ok := seen[h]; ok {
+			return other, name
+		}
+		seen[h] = name
+	}
+	t.Fatal("no two hints are the same")
+	return "", ""
+}
+
+// TestHintOfTwoParts guards against a harmful part that is unknown at an entry which was sent its hash, because a sound
+// part with the same hash was answered there, and against a sound part that is refused for it.
+func TestHintOfTwoParts(t *testing.T) {
+	deadly, sound := sameHash(t)
+	for name, c := range map[string]struct{ before, after bool }{
+		"sound part answered before the hint": {true, false},
+		"answered after it":                   {false, true},
+		"answered before and after":           {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newTestTable(t, "a"), newTestTable(t, "b")
+			if c.before {
+				b.answer(id.Part(sound))
+			}
+			a.end("team", Parts(append(longestPrompt("a"), deadly))...)
+			b.Merge(a.Encode(a.now), b.now)
+			assert.Assert(t, b.records[id.Part(deadly)] == nil) // Only its hash came.
+			if c.after {
+				if v := b.check("other", id.Part(sound)); v != Pass { // The first request suspects the part.
+					assert.Equal(t, b.check("other", id.Part(sound)), Claim)
+					b.BeginTrial([]id.Part{id.Part(sound)}, "", b.now)
+				}
+				b.answer(id.Part(sound))
+			}
+			assert.Equal(t, b.check("other", id.Part(sound)), Pass)
+			assert.Equal(t, b.Check([]id.Part{id.Part(deadly)}, "team", b.now).Action, Wait)
+			assert.Equal(t, b.check("team", id.Part(deadly)), Claim)
+			assert.Equal(t, b.check("other", id.Part(sound)), Pass)
+		})
+	}
+}
+
 // BenchmarkLongestPrompt covers the time under the table's lock for the longest legal prompt: without records, with a
 // full table, and when its loss is blamed and sent to another entry.
 func BenchmarkLongestPrompt(b *testing.B) {
