quarantine: entries that start late hear of all parts

Requests with a harmful part reached an endpoint of an entry that started, or was reachable again, more than 5 s after the part was blamed: of the 1,365 parts of a prompt it knew 64.

Cause: the hashes of records that do not fit a message were sent for 5 s after a change, and never again.

Ruled out: all hashes with each message. The interval of exchanges follows from the bytes, and all other news would come later.

Change: each message repeats some 64 of the older hashes in turn.

--- a/balance/quarantine/hints.go
+++ b/balance/quarantine/hints.go
@@ -19,6 +19,8 @@
 	hintBytes = 4
 	// hintShareTime is the time for which a hint is sent on. It spans several exchanges between entries.
 	hintShareTime = 5 * time.Second
+	// repeatedHints is the number of older hints that a message repeats, in turn, for entries that missed them.
+	repeatedHints = 64
 )
 
 func hintOf(p id.Part) uint32 {
@@ -90,12 +92,18 @@
 }
 
 // encodeHints returns the hashes of records that were changed lately and of the hints that arrived lately, which
-// entries further away have not seen.
+// entries further away have not seen. It repeats some of the other records' hashes with each message, so that an entry
+// that starts hears of all of them in time.
 func (t *Table) encodeHints(list []*Record, now time.Duration) []byte {
 	var b []byte
+	t.hintTurn++
+	turns := uint32(len(list)/repeatedHints + 1)
 	for _, r := range list {
-		if r.State != Cleared && now-r.ChangedAt < hintShareTime {
-			b = binary.BigEndian.AppendUint32(b, hintOf(r.Part))
+		if r.State == Cleared {
+			continue
+		}
+		if h := hintOf(r.Part); now-r.ChangedAt < hintShareTime || h%turns == t.hintTurn%turns {
+			b = binary.BigEndian.AppendUint32(b, h)
 		}
 	}
 	for h, at := range t.hints.All() {
--- a/balance/quarantine/table.go
+++ b/balance/quarantine/table.go
@@ -46,6 +46,8 @@
 	answered *bounded.Map[id.Part, int]
 	// hints are the hashes of parts that other entries blame and sent no record of, and when they came.
 	hints *bounded.Map[uint32, time.Duration]
+	// hintTurn counts the messages, which repeat the hashes of records in turn.
+	hintTurn uint32
 	// collecting holds the losses at endpoints that ended just now.
 	collecting map[EndID]*losses
 	// forgotAt is when old records were last searched.
--- a/balance/quarantine/table_test.go
+++ b/balance/quarantine/table_test.go
@@ -340,6 +340,34 @@
 	}
 }
 
+// TestLateEntryHearsOfAllParts guards against an entry that starts, or hears of others again, when hashes are no longer
+// news, and does not learn of the parts that do not fit a message. The harmful part is at each place of the list in turn.
+func TestLateEntryHearsOfAllParts(t *testing.T) {
+	a, b := newTestTable(t, "a"), newTestTable(t, "b")
+	parts := Parts(longestPrompt("a"))
+	a.end("team", parts...)
+	a.wait(hintShareTime + time.Second)
+	b.now = a.now
+	const exchange = 100 * time.Millisecond
+	size := 0
+	for range 30 {
+		for _, m := range a.Encode(a.now) {
+			size += len(m.Hints)
+			b.Merge([]Message{m}, b.now)
+		}
+		a.wait(exchange)
+		b.wait(exchange)
+	}
+	unknown := 0
+	for _, p := range parts {
+		if b.Check([]id.Part{p}, "team", b.now).Action == Pass {
+			unknown++
+		}
+	}
+	assert.Equal(t, unknown, 0, "of %d parts", len(parts))
+	assert.Assert(t, size <= 30*2*repeatedHints*hintBytes, "%d bytes of hints", size)
+}
+
 // BenchmarkLongestPrompt covers the time under the table's lock for the longest legal prompt: without records, with a
 // full table, and when its loss is blamed and sent to another entry.
 func BenchmarkLongestPrompt(b *testing.B) {
