quarantine: one answer does not clear a part for good

Cause: for an end without a head only parts without an answer were suspected, so that a part that was answered once was never blamed again.

Ruled out: suspecting each part that was blamed before (a popular part would wait for one trial after the other in a storm of crashes), the rate of losses per request (a harmful part's victims raise it for all), a decision at the end itself (other entries explain it 0.1 s later).

Change: an entry compares the ends at which a part was lost with those that its share of recent answers explains. From three ends on it blocks a part that is there too often, 0.4 s after the end. Ends that have another explanation do not count, and one answer does not clear such a part.

--- a/balance/quarantine/hints.go
+++ b/balance/quarantine/hints.go
@@ -38,7 +38,10 @@
 	}
 	var hinted []id.Part
 	for _, p := range parts {
-		if t.records[p] == nil && !t.answered.Has(p) && t.hints.Has(hintOf(p)) {
+		if t.records[p] != nil || !t.hints.Has(hintOf(p)) {
+			continue
+		}
+		if counts, _ := t.counts.Get(p); !counts.answered {
 			hinted = append(hinted, p)
 		}
 	}
@@ -77,8 +80,8 @@
 		return false
 	}
 	var vouched []id.Part
-	for p, answers := range t.answered.All() {
-		if answers > 0 && t.records[p] == nil && added[hintOf(p)] {
+	for p, counts := range t.counts.All() {
+		if counts.sinceEnd > 0 && t.records[p] == nil && added[hintOf(p)] {
 			vouched = append(vouched, p)
 		}
 	}
--- a/balance/quarantine/table.go
+++ b/balance/quarantine/table.go
@@ -42,8 +42,13 @@
 	// onEvent receives all changes; it must not call the table.
 	onEvent func(Event)
 	records map[id.Part]*Record
-	// answered counts the answers to each part since the last end blamed on it.
-	answered *bounded.Map[id.Part, int]
+	// counts are those of the answers with each part, recent counts all answers.
+	counts *bounded.Map[id.Part, partCounts]
+	recent recentCount
+	// ends are the last ends at which requests of this entry were lost, oldest first, and endsWith the number of them
+	// at which each part was lost.
+	ends     []*observedEnd
+	endsWith map[id.Part]int
 	// hints are the hashes of parts that other entries blame and sent no record of, and when they came.
 	hints *bounded.Map[uint32, time.Duration]
 	// hintTurn counts the messages, which repeat the hashes of records in turn.
@@ -77,8 +82,8 @@
 	cfg = cfg.withDefaults()
 	return &Table{
 		cfg: cfg, self: self, onEvent: onEvent, records: make(map[id.Part]*Record),
-		answered: bounded.NewMap[id.Part, int](cfg.MaxAnswered), collecting: make(map[EndID]*losses),
-		hints: bounded.NewMap[uint32, time.Duration](maxHints),
+		counts: bounded.NewMap[id.Part, partCounts](cfg.MaxAnswered), collecting: make(map[EndID]*losses),
+		endsWith: make(map[id.Part]int), hints: bounded.NewMap[uint32, time.Duration](maxHints),
 	}
 }
 
@@ -97,7 +102,7 @@
 // Collecting reports whether Advance is due soon.
 func (t *Table) Collecting() bool { return len(t.collecting) > 0 }
 
-// Advance blames parts for the ends whose losses have been collected.
+// Advance blames parts for the ends whose losses have been collected, and for those that no entry has explained in time.
 func (t *Table) Advance(now time.Duration) {
 	for end, c := range t.collecting {
 		if now-c.since >= t.cfg.CollectTime {
@@ -105,6 +110,7 @@
 			t.evaluate(end, c.list, now)
 		}
 	}
+	t.evaluateEvidence(now)
 }
 
 // forget drops the records without requests for long.
@@ -133,6 +139,11 @@
 			answering = append(answering, l)
 		}
 	}
+	if len(answering) > 0 {
+		t.observeEnd(end, answering, now)
+	} else {
+		t.observeEnd(end, list, now)
+	}
 	if len(answering) > 0 {
 		common := t.suspects(answering[0].Parts, true)
 		for _, l := range answering[1:] {
@@ -167,8 +178,8 @@
 	var out []id.Part
 	for _, p := range parts {
 		r := t.records[p]
-		answers, _ := t.answered.Get(p)
-		if (r != nil && r.State != Cleared) || (answers == 0 && (r == nil || len(r.Ends) == 0)) {
+		counts, _ := t.counts.Get(p)
+		if (r != nil && r.State != Cleared) || (counts.sinceEnd == 0 && (r == nil || len(r.Ends) == 0)) {
 			out = append(out, p)
 		}
 	}
@@ -299,18 +310,26 @@
 }
 
 func (t *Table) emit(k Kind, r *Record, request id.Request, learned bool) {
-	answers, _ := t.answered.Get(r.Part)
-	t.onEvent(Event{Kind: k, Record: *r, Request: request, Learned: learned, Answers: answers})
+	counts, _ := t.counts.Get(r.Part)
+	t.onEvent(Event{Kind: k, Record: *r, Request: request, Learned: learned, Answers: counts.sinceEnd})
 }
 
 // RecordAnswer records that an answer to a request with the parts goes on after its first event.
 func (t *Table) RecordAnswer(parts []id.Part, request id.Request, now time.Duration) {
+	t.recent.add(now)
 	for _, p := range parts {
-		answers, _ := t.answered.Get(p)
-		t.answered.Put(p, answers+1)
+		counts, _ := t.counts.Get(p)
+		counts.recent.add(now)
+		counts.answered = true
+		counts.sinceEnd++
+		t.counts.Put(p, counts)
 		r := t.records[p]
 		switch {
 		case r == nil || r.State == Cleared:
+		case r.Claimant == t.self && !r.ByOperator && t.isEvident(p):
+			r.Claimant = ""
+			t.changed(r, now)
+			t.emit(KindReleased, r, request, false)
 		case r.Claimant == t.self && !r.ByOperator:
 			t.clear(r, request, now)
 		default:
@@ -322,10 +341,13 @@
 // vouch clears a part if this entry has seen enough answers to it.
 func (t *Table) vouch(r *Record, request id.Request, now time.Duration) {
 	need := 1
-	if len(r.Ends) > 1 {
+	switch {
+	case len(r.Ends) >= minEvidenceEnds && !r.Witnessed: // Answers in between are to be expected.
+		need = evidenceAnswersFactor * t.cfg.RepeatAnswers
+	case len(r.Ends) > 1:
 		need = t.cfg.RepeatAnswers
 	}
-	if answers, _ := t.answered.Get(r.Part); answers >= need && r.State != Cleared && !r.ByOperator {
+	if counts, _ := t.counts.Get(r.Part); counts.sinceEnd >= need && r.State != Cleared && !r.ByOperator && !t.isEvident(r.Part) {
 		t.clear(r, request, now)
 	}
 }
@@ -333,8 +355,9 @@
 // vouchForNewEnd is vouch after an end was blamed on the part. Answers from before it count once.
 func (t *Table) vouchForNewEnd(r *Record, now time.Duration) {
 	t.vouch(r, "", now)
-	if len(r.Ends) > 0 && t.answered.Has(r.Part) {
-		t.answered.Put(r.Part, 0)
+	if counts, ok := t.counts.Get(r.Part); ok && len(r.Ends) > 0 {
+		counts.sinceEnd = 0
+		t.counts.Put(r.Part, counts)
 	}
 }
 
--- a/balance/quarantine/table_test.go
+++ b/balance/quarantine/table_test.go
@@ -196,7 +196,8 @@
 		}
 	}
 	assert.Assert(t, len(x.records) <= x.cfg.MaxRecords)
-	assert.Assert(t, x.answered.Len() <= x.cfg.MaxAnswered)
+	assert.Assert(t, x.counts.Len() <= x.cfg.MaxAnswered)
+	assert.Assert(t, len(x.ends) <= maxEvidenceEnds && len(x.endsWith) <= 2*maxEvidenceEnds)
 	whole, hints := 0, 0
 	for _, m := range x.Encode(x.now) {
 		if m.Part != "" {
@@ -292,6 +293,122 @@
 	}
 }
 
+// traffic answers n requests, each with one of many parts.
+func (x *testTable) traffic(n int) {
+	for i := range n {
+		x.answer(id.Part(fmt.Sprint("part", i%97)))
+	}
+}
+
+// endWithoutHead ends an endpoint before the head of an answer left it. Requests with each of the parts are lost there.
+func (x *testTable) endWithoutHead(parts ...id.Part) {
+	var list []Loss
+	for _, p := range parts {
+		list = append(list, Loss{Team: "a", Parts: []id.Part{"popular", p}})
+	}
+	x.lose(list...)
+}
+
+// settle gives other entries the time to explain an end.
+func (x *testTable) settle() {
+	x.wait(x.cfg.SettleTime)
+	x.Advance(x.now)
+}
+
+// TestAnsweredPartIsBlockedWithoutHead guards against a part that ends endpoints at times, before the head of an answer
+// leaves them, and is never blamed again once it was answered.
+func TestAnsweredPartIsBlockedWithoutHead(t *testing.T) {
+	for name, heads := range map[string]bool{"alone": false, "beside others": true} {
+		t.Run(name, func(t *testing.T) {
+			x := newTestTable(t, "h")
+			for i := range 3 {
+				x.traffic(200)
+				x.answer("popular", "seldom")
+				lost := []id.Part{"seldom"}
+				if heads {
+					lost = append(lost, id.Part(fmt.Sprint("part", i)), id.Part(fmt.Sprint("part", 10+i)))
+				}
+				for range 30 {
+					x.answer("popular")
+				}
+				x.endWithoutHead(lost...)
+				x.settle()
+			}
+			assert.Equal(t, x.check("a", "seldom"), Refuse)
+			for _, p := range []id.Part{"popular", "part0", "part1"} {
+				assert.Equal(t, x.Check([]id.Part{p}, "a", x.now).Action, Pass, p)
+			}
+			x.wait(x.cfg.Pause)
+			assert.Equal(t, x.check("a", "seldom"), Claim)
+			x.BeginTrial([]id.Part{"seldom"}, "", x.now)
+			x.StartTrial([]id.Part{"seldom"}, "", x.now)
+			x.answer("seldom")
+			assert.Equal(t, x.check("a", "seldom"), Refuse, "one answer does not outweigh three ends")
+			x.wait(x.cfg.Pause * time.Duration(x.cfg.PauseGrowth))
+			x.wait(evidenceTime)
+			x.endWithoutHead("another") // Old ends are forgotten with the next one.
+			assert.Equal(t, x.check("a", "seldom"), Claim)
+			x.BeginTrial([]id.Part{"seldom"}, "", x.now)
+			x.StartTrial([]id.Part{"seldom"}, "", x.now)
+			x.answer("seldom")
+			assert.Equal(t, x.check("a", "seldom"), Pass)
+		})
+	}
+}
+
+// TestManyEndsBlockNoPopularPart guards against a sound part that is blocked because many endpoints end at a time, for
+// another cause, and its requests are among those lost.
+func TestManyEndsBlockNoPopularPart(t *testing.T) {
+	for name, every := range map[string]int{"a third of all": 3, "a tenth of all": 10} {
+		t.Run(name, func(t *testing.T) {
+			x := newTestTable(t, "h")
+			for i := range 600 {
+				if i%every == 0 {
+					x.answer("popular")
+				} else {
+					x.answer(id.Part(fmt.Sprint("part", i%97)))
+				}
+			}
+			for i := range 12 {
+				lost := Loss{Team: "a", Parts: []id.Part{id.Part(fmt.Sprint("part", i))}}
+				if i%every == 0 {
+					lost.Parts = []id.Part{"popular"}
+				}
+				x.lose(lost, Loss{Team: "a", Parts: []id.Part{id.Part(fmt.Sprint("part", 40+i))}})
+			}
+			x.settle()
+			for _, r := range x.Records() {
+				assert.Assert(t, r.State != Blocked, "%+v", r)
+			}
+		})
+	}
+}
+
+// TestExplainedEndsAreNoEvidence guards against a sound part that is blocked for ends that another entry explains.
+func TestExplainedEndsAreNoEvidence(t *testing.T) {
+	for name, explained := range map[string]bool{"explained": true, "not explained": false} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newTestTable(t, "a"), newTestTable(t, "b")
+			for i := range 3 {
+				b.traffic(200)
+				b.answer("sound")
+				b.lose(Loss{Team: "t", Parts: []id.Part{"sound"}})
+				a.nextID = b.nextID - 1 // The same end.
+				if explained {
+					a.end("t", id.Part(fmt.Sprint("deadly", i)))
+					b.Merge(a.Encode(a.now), b.now)
+				}
+				b.settle()
+			}
+			want := Refuse
+			if explained {
+				want = Pass
+			}
+			assert.Equal(t, b.check("t", "sound"), want)
+		})
+	}
+}
+
 // sameHash returns the IDs of two parts whose hints are the same.
 func sameHash(t *testing.T) (a, b string) {
 	t.Helper()
--- a/entry/direct/quarantine.go
+++ b/entry/direct/quarantine.go
@@ -290,8 +290,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.Advance(p.now())
-	if p.table.Collecting() {
+	switch {
+	case p.table.Collecting():
 		time.AfterFunc(quarantineCollectTime, p.advance)
+	case p.table.Unexplained():
+		time.AfterFunc(p.table.SettleTime(), p.advance)
 	}
 	p.publish()
 }
--- a/entry/direct/quarantine_test.go
+++ b/entry/direct/quarantine_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +63,42 @@
 	assert.Equal(t, sent, 1, "the request was repeated")
 }
 
+// TestPartThatEndsEndpointsAtTimesIsBlocked guards against a part that ends endpoints before the head of an answer, with
+// every second request, and is not blocked until a further endpoint ends.
+func TestPartThatEndsEndpointsAtTimesIsBlocked(t *testing.T) {
+	var with atomic.Int64 // Requests with the part.
+	backends := make([]*backend, 5)
+	for i := range backends {
+		backends[i] = newBackend(t, fmt.Sprintf("b%d", i), func(n int, w http.ResponseWriter, r *http.Request) {
+			if !slices.Contains(strings.Fields(r.Header.Get("Parts")), "seldom") || with.Add(1)%2 == 1 {
+				events(2, 0, 0)(n, w, r)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			go backends[i].crash()
+			<-r.Context().Done()
+		})
+	}
+	e := newEntry(t, routes.Route{Kind: routes.Streaming}, backends...)
+	const harmful = 3
+	for i := range harmful {
+		for j := range 40 {
+			assert.Equal(t, e.send(http.MethodPost, fmt.Sprintf("Parts: shared sound%d", 40*i+j)).status, http.StatusOK)
+		}
+		for range 2 {
+			e.send(http.MethodPost, "Parts: shared seldom")
+		}
+	}
+	assert.Equal(t, crashedOf(backends), harmful)
+	assert.Equal(t, int(with.Load()), 2*harmful)
+	p := e.handler.Service("s").quarantine
+	time.Sleep(2*p.table.SettleTime() + 200*time.Millisecond)
+	r := e.send(http.MethodPost, "Parts: shared seldom")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, "%v", r)
+	assert.Equal(t, e.send(http.MethodPost, "Parts: shared").status, http.StatusOK)
+	assert.Equal(t, int(with.Load()), 2*harmful)
+}
+
 // exchangeQuarantine sends what one entry knows to another, as entries do.
 func exchangeQuarantine(t *testing.T, from, to *entry) {
 	t.Helper()
