Hedges without a retry left take no place

Callers waited longer for cold endpoints while requests at silent ones could not be repeated: with the retry budget used up, each silent request took a place at another endpoint three (streams) to six times in 1.6 s and gave it back unused. Each time one of the few starts of a cold endpoint was gone.

Cause: the retry was taken after the place.

Ruled out: giving the starts back, which other entries count too.

Change: a hedge waits for a place only if a retry is left. The silent endpoint counts as hung all the same.

Measured: both cases of TestHedgeWithoutRetryTakesNoPlace failed in 5 of 5 runs before and pass in 5 of 5. TestDrainDuringHedge passed before.

--- a/entry/direct/hedge.go
+++ b/entry/direct/hedge.go
@@ -56,6 +56,10 @@
 // acquireHedge waits until the request may be sent to an endpoint other than the silent ones and takes a retry from
 // the budget. It returns nil if no endpoint takes it now, no retry is left or ctx ends.
 func (h *Handler) acquireHedge(ctx context.Context, q *request, silent silentSlots, r scheduler.Request) (*Slot, scheduler.Decision) {
+	if !q.service.HasRetry() {
+		silent.last().RecordHang()
+		return nil, scheduler.Decision{}
+	}
 	r.Exclude = q.excludedAnd(silent.names()...)
 	slot, d := h.acquire(ctx, q, r)
 	if slot == nil {
--- a/entry/direct/hedge_test.go
+++ b/entry/direct/hedge_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -316,3 +317,104 @@
 		})
 	}
 }
+
+// countedColdStarts is a limit that lets all requests start at cold endpoint "b" and counts them.
+type countedColdStarts struct{ starts atomic.Int64 }
+
+func (*countedColdStarts) Next(name id.Endpoint, now time.Duration) (time.Duration, bool) {
+	return now, name == "b"
+}
+
+func (c *countedColdStarts) Take(name id.Endpoint, _ time.Duration) bool {
+	if name == "b" {
+		c.starts.Add(1)
+	}
+	return true
+}
+
+func (*countedColdStarts) Interval(id.Endpoint, time.Duration) (time.Duration, bool) {
+	return time.Millisecond, true
+}
+
+func (*countedColdStarts) Until(id.Endpoint) time.Duration { return time.Hour }
+
+func (*countedColdStarts) Cold() int { return 1 }
+
+// TestHedgeWithoutRetryTakesNoPlace guards against silent requests that, with the retry budget used up, take places at
+// other endpoints and starts at cold ones again and again without sending anything.
+func TestHedgeWithoutRetryTakesNoPlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		route  routes.Route
+		answer script
+		want   string
+	}{
+		"stream": {stream, pauseAfter(2, 3, sleep(1600*time.Millisecond)), wantEvents(1, 3)},
+		"buffered": {routes.Route{Kind: routes.Idempotent, MaxAttempts: 2}, func(n int, w http.ResponseWriter, r *http.Request) {
+			sleep(1600 * time.Millisecond)(r)
+			respondOK("late")(n, w, r)
+		}, "late"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := newBackend(t, "a", c.answer), newBackend(t, "b", hang)
+			e := newEntry(t, c.route, a, b)
+			s := e.handler.Service("s")
+			keepActive(t, s)
+			s.MarkUnreachable("b")
+			var cold countedColdStarts
+			s.mu.Lock()
+			s.scheduler.SetColdLimit(&cold)
+			s.mu.Unlock()
+			for s.AcquireRetry() {
+			}
+			got := e.send(http.MethodPost)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, c.want)
+			assert.Equal(t, len(b.requests()), 0)
+			assert.Equal(t, cold.starts.Load(), int64(0))
+		})
+	}
+}
+
+// TestDrainDuringHedge guards against a stream that is lost if its entry is told to stop while a hedge is under way:
+// the silent endpoint goes on, or the other one does.
+func TestDrainDuringHedge(t *testing.T) {
+	for name, silent := range map[string]bool{"silent one goes on": false, "hedge goes on": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hedged, stopped := make(chan struct{}), make(chan struct{})
+			awaitStop := func(r *http.Request) {
+				select {
+				case <-stopped:
+				case <-r.Context().Done():
+				}
+			}
+			a := newBackend(t, "a", pauseAfter(2, 6, func(r *http.Request) {
+				awaitStop(r)
+				if silent {
+					<-r.Context().Done()
+				}
+			}))
+			b := newBackend(t, "b", pauseAfter(2, 6, func(r *http.Request) {
+				close(hedged)
+				awaitStop(r)
+				if !silent {
+					<-r.Context().Done()
+				}
+			}))
+			e := newEntry(t, stream, a, b)
+			s := e.handler.Service("s")
+			keepActive(t, s)
+			s.MarkUnreachable("b")
+			result := make(chan reply, 1)
+			go func() { result <- e.send(http.MethodPost) }()
+			<-hedged
+			e.handler.Drain(t.Context(), time.Now().Add(2*time.Second))
+			time.Sleep(100 * time.Millisecond)
+			close(stopped)
+			got := <-result
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wantEvents(1, 6))
+		})
+	}
+}
--- a/entry/direct/service.go
+++ b/entry/direct/service.go
@@ -407,6 +407,13 @@
 	return s.window.AcquireRetry(s.now(), s.entries())
 }
 
+// HasRetry reports whether the shared budget has a retry left now.
+func (s *Service) HasRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window.Remaining(s.now(), s.entries()) > 0
+}
+
 // ReportGroupDown records that an endpoint refused a request because its group is down.
 func (s *Service) ReportGroupDown(name id.Endpoint) {
 	s.mu.Lock()
