A hedge that failed frees its place at once

Requests of others waited for a place at an endpoint that one had left: a hedge that failed while a further hedge of its request was under way kept its slot until that one ended.

Cause: it was closed after the wait for the further hedge.

Ruled out: the same in buffered requests, which release their slot with the exchange, and in first attempts, which are closed before the wait.

Change: a failed hedge is closed first.

--- a/entry/direct/hedge_test.go
+++ b/entry/direct/hedge_test.go
@@ -298,6 +298,49 @@
 	}
 }
 
+// TestFailedHedgeFreesItsPlace guards against a hedge that has failed and keeps its place at its endpoint for as long as
+// a further one goes on.
+func TestFailedHedgeFreesItsPlace(t *testing.T) {
+	begun, freed := make(chan struct{}), make(chan struct{})
+	a := newBackend(t, "a", pauseAfter(2, 3, sleep(time.Hour)))
+	b := newBackend(t, "b", func(int, http.ResponseWriter, *http.Request) {
+		<-begun
+		panic(http.ErrAbortHandler)
+	})
+	c := newBackend(t, "c", pauseAfter(2, 3, func(r *http.Request) {
+		close(begun)
+		select {
+		case <-freed:
+		case <-r.Context().Done():
+		}
+	}))
+	route := stream
+	route.MaxAttempts = 3
+	e := newEntry(t, route, a, b, c)
+	s := e.handler.Service("s")
+	keepActive(t, s)
+	running := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.scheduler.OwnLoad("b").Running
+	}
+	s.mu.Lock()
+	for i, name := range []id.Endpoint{"a", "b", "c"} { // a is the first choice, and so on.
+		s.scheduler.SetPeerLoad(name, scheduler.Load{Running: i})
+	}
+	s.mu.Unlock()
+	result := make(chan reply, 1)
+	go func() { result <- e.send(http.MethodPost) }()
+	<-begun
+	for limit := time.Now().Add(500 * time.Millisecond); running() > 0; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(limit), "the failed hedge keeps its place")
+	}
+	close(freed)
+	got := <-result
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, wantEvents(1, 3))
+}
+
 // TestHedgeIsEitherAcceptedOrAbandoned guards against a request that loses both its attempts if both go on at the same
 // moment: each would end the other one.
 func TestHedgeIsEitherAcceptedOrAbandoned(t *testing.T) {
--- a/entry/direct/watchdog.go
+++ b/entry/direct/watchdog.go
@@ -163,17 +163,16 @@
 			err = h.fail(q, a, err)
 		}
 	}
-	if err != nil {
-		next.await()
-	} else if !next.abandon() {
+	if err == nil && !next.abandon() {
 		err = errHedged
 	}
 	h.logHedge(ctx, q, silent.last(), slot, err)
-	if err != nil {
-		a.close()
-		return won
+	if err == nil {
+		return a
 	}
-	return a
+	a.close()
+	next.await()
+	return won
 }
 
 // hedgeSilentHedge begins the rest of a stream at a further endpoint if a hedge is silent too while other streams of
