quarantine: an end that has a cause is no evidence against others

A sound part that is mostly used beside a harmful one could be blocked for its ends, once these were no longer among the last four that the harmful part's record lists.

Cause: what is known of the cause of an end was looked up in the records alone.

Ruled out: longer lists in the records, which go to all entries.

Change: an entry remembers for which part it blocked an end, and blames the last four ends that a record can list, once each.

--- a/balance/quarantine/doc.go
+++ b/balance/quarantine/doc.go
@@ -4,7 +4,8 @@
 // An endpoint that ends with unanswered requests is evidence against the parts of their
 // prompts, except those with which other answers have begun, at any entry. The evidence is
 // strong if the answer's head had arrived but no event: the parts of that request are blocked. Otherwise
-// several requests come into question, and their parts are suspected. Entries exchange
+// several requests come into question, and their parts are suspected. Parts that have answers too are
+// blocked once they are lost at more ends than their share of the requests explains. Entries exchange
 // their records; one that has seen an answer to a part vouches for it.
 //
 // Requests with a suspected part wait until one of them, the trial, has been answered.
--- a/balance/quarantine/evidence.go
+++ b/balance/quarantine/evidence.go
@@ -59,8 +59,9 @@
 	list []Loss
 	// chances are the probabilities that a part is among the lost requests without being the cause.
 	chances map[id.Part]float64
-	// evaluated is true once its parts were looked at.
+	// evaluated is true once its parts were looked at. cause is the part that was blocked for it then, if any.
 	evaluated bool
+	cause     id.Part
 }
 
 // observeEnd records an end as evidence, and drops those that are too old or too many.
@@ -91,15 +92,15 @@
 
 // evidence returns the evidence against a part, from what this entry has seen, and the ends at which it was lost. Ends
 // for which another part is blocked do not count.
-func (t *Table) evidence(p id.Part, causes map[EndID][]id.Part) (float64, []EndID) {
+func (t *Table) evidence(p id.Part, causes map[EndID][]id.Part) (float64, []*observedEnd) {
 	if t.endsWith[p] < minEvidenceEnds {
 		return 0, nil
 	}
-	var with []EndID
+	var with []*observedEnd
 	var chances []float64
 	without := 0.0
 	for _, e := range t.ends {
-		if slices.ContainsFunc(causes[e.id], func(cause id.Part) bool { return cause != p }) {
+		if e.cause != "" && e.cause != p || slices.ContainsFunc(causes[e.id], func(cause id.Part) bool { return cause != p }) {
 			continue
 		}
 		chance, ok := e.chances[p]
@@ -107,7 +108,7 @@
 			without++
 			continue
 		}
-		with, chances = append(with, e.id), append(chances, chance)
+		with, chances = append(with, e), append(chances, chance)
 	}
 	if len(with) < minEvidenceEnds {
 		return 0, nil
@@ -161,20 +162,23 @@
 		var (
 			part id.Part
 			loss Loss
-			ends []EndID
+			ends []*observedEnd
 			most = float64(blockEvidence)
 		)
 		causes := t.blockedCauses()
 		for _, l := range e.list {
 			for _, p := range l.Parts {
-				if v, with := t.evidence(p, causes); v >= most && slices.Contains(with, e.id) {
+				if v, with := t.evidence(p, causes); v >= most && slices.Contains(with, e) {
 					part, loss, ends, most = p, l, with, v
 				}
 			}
 		}
 		loss.Answering = false
-		for _, end := range ends {
-			t.blame([]id.Part{part}, Blocked, end, loss, now)
+		for i, end := range ends {
+			end.cause = part
+			if i >= len(ends)-maxEnds {
+				t.blame([]id.Part{part}, Blocked, end.id, loss, now)
+			}
 		}
 	}
 }
--- a/balance/quarantine/table.go
+++ b/balance/quarantine/table.go
@@ -139,11 +139,11 @@
 			answering = append(answering, l)
 		}
 	}
+	candidates := list
 	if len(answering) > 0 {
-		t.observeEnd(end, answering, now)
-	} else {
-		t.observeEnd(end, list, now)
+		candidates = answering
 	}
+	t.observeEnd(end, candidates, now)
 	if len(answering) > 0 {
 		common := t.suspects(answering[0].Parts, true)
 		for _, l := range answering[1:] {
